--- /dev/null
+++ b/src/jacinthshed/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of jacinthshed; nothing in here is public."""
--- /dev/null
+++ b/src/jacinthshed/internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission at a target: adaptive limit, ordered queue, shed level."""
--- /dev/null
+++ b/src/jacinthshed/internal/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Bundle: the signed policy document, its checks, order and spread."""
--- /dev/null
+++ b/src/jacinthshed/internal/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The caller library."""
--- /dev/null
+++ b/src/jacinthshed/internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/jacinthshed/internal/cli/app.py
@@ -0,0 +1,15 @@
+"""The ``jacinthshed`` command line."""
+
+import cyclopts
+
+app = cyclopts.App(name="jacinthshed", help="Overload control for call graphs.")
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command and return its exit code: 0 done, 1 refused, 2 usage."""
+    result = app(arguments, exit_on_error=False)
+    return result if isinstance(result, int) else EXIT_DONE
--- /dev/null
+++ b/src/jacinthshed/internal/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration deployment in one process."""
--- /dev/null
+++ b/src/jacinthshed/internal/fence/__init__.py
@@ -0,0 +1,1 @@
+"""Fences: at-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/src/jacinthshed/internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server and client connections over h11."""
--- /dev/null
+++ b/src/jacinthshed/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of nodes: records, gossip, failure detection."""
--- /dev/null
+++ b/src/jacinthshed/internal/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon: listeners, links and the tasks that move bytes."""
--- /dev/null
+++ b/src/jacinthshed/internal/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests suspected of crashing backend servers."""
--- /dev/null
+++ b/src/jacinthshed/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for an attempt."""
--- /dev/null
+++ b/src/jacinthshed/internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process, read from YAML."""
--- /dev/null
+++ b/src/jacinthshed/internal/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the product."""
--- /dev/null
+++ b/src/jacinthshed/internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/src/jacinthshed/internal/verdict.py
@@ -0,0 +1,70 @@
+"""What is known about whether a request has run."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Verdict(StrEnum):
+    """Whether a request may have run at a backend server.
+
+    ``NOT_RUN`` is given only from proof: nothing was sent, or the target has
+    promised that the request never will run.
+    """
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class Reason(StrEnum):
+    """Why a request was refused."""
+
+    SHED = "shed"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+    FENCE_EXPIRED = "fence-expired"
+    FENCE_INCARNATION = "fence-incarnation"
+    CANCELLED = "cancelled"
+    QUARANTINED = "quarantined"
+    MALFORMED = "malformed"
+    KEY_REQUIRED = "key-required"
+    UNKNOWN_ROUTE = "unknown-route"
+    TOO_LARGE = "too-large"
+    RETRY_LIMIT = "retry-limit"
+    NO_BUNDLE = "no-bundle"
+    NO_TARGET = "no-target"
+    UNREACHABLE = "unreachable"
+    BACKEND_FAILED = "backend-failed"
+
+
+HTTP_STATUS: dict[Reason, int] = {
+    Reason.SHED: 503,
+    Reason.LEAVING: 503,
+    Reason.DEADLINE: 504,
+    Reason.FENCE_EXPIRED: 409,
+    Reason.FENCE_INCARNATION: 409,
+    Reason.CANCELLED: 409,
+    Reason.QUARANTINED: 422,
+    Reason.MALFORMED: 400,
+    Reason.KEY_REQUIRED: 400,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.RETRY_LIMIT: 503,
+    Reason.NO_BUNDLE: 503,
+    Reason.NO_TARGET: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.BACKEND_FAILED: 502,
+}
+
+
+class Refusal(NamedTuple):
+    """A refusal, as it is told to a caller.
+
+    ``retry_after_ms`` is the wait in milliseconds before a resend makes sense, or 0
+    when a resend makes no sense.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    retry_after_ms: int = 0
+    detail: str = ""
--- /dev/null
+++ b/src/jacinthshed/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Frames between nodes."""
