--- /dev/null
+++ b/src/jacinthshed/internal/bundle/model.py
@@ -0,0 +1,162 @@
+"""The policy document that operators sign.
+
+These are ``msgspec`` structures and not named tuples because a settings check has to
+refuse unknown keys and name the YAML path of what is wrong.
+"""
+
+import msgspec
+
+MAX_RANK = 100
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of every part of the bundle: immutable, no unknown keys."""
+
+
+class Service(_Section):
+    """One service and the sizes of each of its targets.
+
+    ``path_prefix`` names the service in a request path; the empty string stands for
+    ``/<name>``. ``slots`` is how many requests one target runs at once,
+    ``connections`` how many connections one target accepts, ``queue`` how many
+    requests may wait for a slot at one target (0 stands for as many as ``slots``).
+    """
+
+    slots: int
+    connections: int
+    path_prefix: str = ""
+    queue: int = 0
+
+
+class Route(_Section):
+    """One kind of request.
+
+    ``path`` is the prefix of the path below the service's prefix. ``rank`` orders
+    requests by importance: 1 is the most important and is shed last. ``calls`` names
+    the routes that a backend server may call while it runs this one. ``deadline_ms``
+    is the time that a request has when its caller names none.
+    """
+
+    service: str
+    rank: int
+    idempotent: bool
+    deadline_ms: int
+    methods: tuple[str, ...] = ("GET",)
+    path: str = "/"
+    calls: tuple[str, ...] = ()
+
+
+class RetryPolicy(_Section):
+    """Retries of one root request and of one caller.
+
+    ``allowance`` is the number of attempts beyond the first over the whole call tree.
+    ``ratio`` and ``burst`` bound the resends of a caller to its fresh requests.
+    """
+
+    allowance: int = 2
+    ratio: float = 0.1
+    burst: int = 20
+
+
+class FencePolicy(_Section):
+    """Lifetimes of fences and keys, in milliseconds.
+
+    ``key_lifetime_ms`` is how long after its first use a caller may still resend a
+    key. ``skew_ms`` is the greatest difference between two hosts' clocks.
+    """
+
+    lifetime_ms: int = 60_000
+    skew_ms: int = 500
+    key_lifetime_ms: int = 600_000
+    require_key: bool = True
+
+
+class AdmissionPolicy(_Section):
+    """Bounds of the adaptive limit at a target.
+
+    ``latency_tolerance`` is how many times the unloaded latency a target may take
+    before its limit goes down. ``level_ttl_ms`` is how long an entry node trusts the
+    shed level that a target told it.
+    """
+
+    min_limit: int = 1
+    latency_tolerance: float = 2.0
+    level_ttl_ms: int = 1_000
+
+
+class RoutingPolicy(_Section):
+    """Choice of targets.
+
+    ``subset`` bounds the targets of one service in one availability zone that one
+    node keeps links to. ``slow_start_ms`` is the time over which a new target's share
+    grows. A zone's targets are left for other zones' when less than ``headroom`` of
+    their limit is free.
+    """
+
+    subset: int = 6
+    slow_start_ms: int = 10_000
+    headroom: float = 0.1
+
+
+class MembershipPolicy(_Section):
+    """Times of gossip and of links between nodes, in milliseconds."""
+
+    gossip_interval_ms: int = 1_000
+    heartbeat_ms: int = 500
+    silent_after_ms: int = 1_500
+    unreachable_after_ms: int = 5_000
+    pause_after_ms: int = 1_000
+
+
+class DrainPolicy(_Section):
+    """Leaving: ``limit_ms`` is the longest time that running work is waited for."""
+
+    limit_ms: int = 60_000
+
+
+class QuarantinePolicy(_Section):
+    """Requests that crash backend servers."""
+
+    crashes: int = 2
+    suspect_ttl_ms: int = 120_000
+    quarantine_ttl_ms: int = 300_000
+    max_entries: int = 4_096
+
+
+class ReaderPolicy(_Section):
+    """Readers of the platform's configuration service.
+
+    ``per_zone`` nodes of an availability zone hold a watch. All readers together
+    stay under ``reads_per_s``.
+    """
+
+    per_zone: int = 2
+    reads_per_s: int = 500
+    watch_ms: int = 10_000
+    quiet_after_ms: int = 15_000
+
+
+class SizeLimits(_Section):
+    """Largest bodies, in bytes."""
+
+    request_bytes: int = 1_048_576
+    answer_bytes: int = 4_194_304
+
+
+class Bundle(_Section):
+    """One version of the whole policy."""
+
+    deployment: str
+    version: int
+    availability_zones: tuple[str, ...]
+    services: dict[str, Service]
+    routes: dict[str, Route]
+    retry: RetryPolicy = RetryPolicy()
+    fence: FencePolicy = FencePolicy()
+    admission: AdmissionPolicy = AdmissionPolicy()
+    routing: RoutingPolicy = RoutingPolicy()
+    membership: MembershipPolicy = MembershipPolicy()
+    drain: DrainPolicy = DrainPolicy()
+    quarantine: QuarantinePolicy = QuarantinePolicy()
+    readers: ReaderPolicy = ReaderPolicy()
+    sizes: SizeLimits = SizeLimits()
--- /dev/null
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -0,0 +1,191 @@
+"""The messages that nodes send each other.
+
+Every frame is a named tuple of msgpack types, so that its layout on the wire is its
+field order. Times on the wire are spans in milliseconds, as clocks of two hosts
+differ; the only wall-clock times are inside fences.
+"""
+
+from typing import NamedTuple
+
+Header = tuple[bytes, bytes]
+
+
+class Hello(NamedTuple):
+    """First frame of each side of a link."""
+
+    protocol: int
+    host: str
+    incarnation: int
+    service: str
+    availability_zone: str
+    peer_address: str
+    leaving: bool
+    bundle_version: int
+    bundle_digest: bytes
+
+
+class Submit(NamedTuple):
+    """One attempt of a request.
+
+    ``deadline_ms`` is the time left. ``root_hash`` orders requests of the same rank
+    alike at every layer. ``invested`` counts the calls of the same root that are
+    already done. ``allowance`` is what the sender gives away of the root's retries.
+    ``fence`` and ``key`` are empty for idempotent requests.
+    """
+
+    request_id: str
+    root_id: str
+    root_hash: int
+    rank: int
+    route: str
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    deadline_ms: int
+    allowance: int
+    invested: int
+    key: str
+    fence: str
+    bundle_version: int
+    bundle_digest: bytes
+
+
+class Reply(NamedTuple):
+    """The end of one attempt.
+
+    ``status`` is 0 for a refusal by the system. ``checksum`` is the xxh3 of the body.
+    ``allowance`` is what comes back unused; ``calls_done`` counts the calls that were
+    answered below. ``load`` is the target's work in hand as a share of its limit.
+    ``shed_rank`` and ``shed_hash`` are the target's shed level: work that orders after
+    them would be refused now.
+    """
+
+    request_id: str
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    checksum: int
+    verdict: str
+    reason: str
+    detail: str
+    retry_after_ms: int
+    allowance: int
+    calls_done: int
+    load: float
+    shed_rank: int
+    shed_hash: int
+
+
+class Cancel(NamedTuple):
+    """Asks for a tombstone: the request must not start any more."""
+
+    request_id: str
+    key: str
+    fence: str
+
+
+class Revoke(NamedTuple):
+    """Asks whether a key ever ran here, and forbids fences of lower ballots."""
+
+    request_id: str
+    key: str
+    ballot: str
+
+
+class Revoked(NamedTuple):
+    """Answer to ``Revoke``: ``found``, ``tombstone`` or ``superseded``.
+
+    ``fence`` is the fence under which the key was found. ``uptime_ms`` is how long
+    this incarnation has kept its records.
+    """
+
+    request_id: str
+    outcome: str
+    fence: str
+    uptime_ms: int
+
+
+class MemberRecord(NamedTuple):
+    """What is told about one node.
+
+    ``state`` is ``live``, ``leaving`` or ``gone``. Records of one host are ordered
+    by incarnation, then by state, then by ``revision``.
+    """
+
+    host: str
+    incarnation: int
+    state: str
+    revision: int
+    service: str
+    availability_zone: str
+    peer_address: str
+    started_ms: int
+
+
+class Gossip(NamedTuple):
+    """News about members, with a digest of the sender's whole view."""
+
+    view_digest: int
+    records: tuple[MemberRecord, ...]
+    want_all: bool
+    bundle_version: int
+    bundle_digest: bytes
+    suspects: tuple[tuple[int, str, str, int], ...]
+
+
+class Heartbeat(NamedTuple):
+    """Keeps a link known to be alive; ``echo`` asks for one in return."""
+
+    sequence: int
+    echo: bool
+
+
+class Leaving(NamedTuple):
+    """The sender takes no new work."""
+
+    host: str
+    incarnation: int
+
+
+class BundleAsk(NamedTuple):
+    """Asks a peer for a bundle above the given order."""
+
+    above_version: int
+    above_digest: bytes
+
+
+class BundleData(NamedTuple):
+    """A signed bundle document."""
+
+    document: bytes
+
+
+class StatusAsk(NamedTuple):
+    """Asks a node for its status."""
+
+    request_id: str
+
+
+class StatusData(NamedTuple):
+    """A node's status as a JSON document."""
+
+    request_id: str
+    document: bytes
+
+
+Frame = (
+    Hello
+    | Submit
+    | Reply
+    | Cancel
+    | Revoke
+    | Revoked
+    | Gossip
+    | Heartbeat
+    | Leaving
+    | BundleAsk
+    | BundleData
+    | StatusAsk
+    | StatusData
+)
