--- a/src/jacinthshed/internal/bundle/model.py
+++ b/src/jacinthshed/internal/bundle/model.py
@@ -13,7 +13,7 @@
     """Base of every part of the bundle: immutable, no unknown keys."""
 
 
-class Service(_Section):
+class Service(_Section, frozen=True, kw_only=True):
     """One service and the sizes of each of its targets.
 
     ``path_prefix`` names the service in a request path; the empty string stands for
@@ -28,7 +28,7 @@
     queue: int = 0
 
 
-class Route(_Section):
+class Route(_Section, frozen=True, kw_only=True):
     """One kind of request.
 
     ``path`` is the prefix of the path below the service's prefix. ``rank`` orders
@@ -46,7 +46,7 @@
     calls: tuple[str, ...] = ()
 
 
-class RetryPolicy(_Section):
+class RetryPolicy(_Section, frozen=True, kw_only=True):
     """Retries of one root request and of one caller.
 
     ``allowance`` is the number of attempts beyond the first over the whole call tree.
@@ -58,7 +58,7 @@
     burst: int = 20
 
 
-class FencePolicy(_Section):
+class FencePolicy(_Section, frozen=True, kw_only=True):
     """Lifetimes of fences and keys, in milliseconds.
 
     ``key_lifetime_ms`` is how long after its first use a caller may still resend a
@@ -71,7 +71,7 @@
     require_key: bool = True
 
 
-class AdmissionPolicy(_Section):
+class AdmissionPolicy(_Section, frozen=True, kw_only=True):
     """Bounds of the adaptive limit at a target.
 
     ``latency_tolerance`` is how many times the unloaded latency a target may take
@@ -84,7 +84,7 @@
     level_ttl_ms: int = 1_000
 
 
-class RoutingPolicy(_Section):
+class RoutingPolicy(_Section, frozen=True, kw_only=True):
     """Choice of targets.
 
     ``subset`` bounds the targets of one service in one availability zone that one
@@ -98,7 +98,7 @@
     headroom: float = 0.1
 
 
-class MembershipPolicy(_Section):
+class MembershipPolicy(_Section, frozen=True, kw_only=True):
     """Times of gossip and of links between nodes, in milliseconds."""
 
     gossip_interval_ms: int = 1_000
@@ -108,13 +108,13 @@
     pause_after_ms: int = 1_000
 
 
-class DrainPolicy(_Section):
+class DrainPolicy(_Section, frozen=True, kw_only=True):
     """Leaving: ``limit_ms`` is the longest time that running work is waited for."""
 
     limit_ms: int = 60_000
 
 
-class QuarantinePolicy(_Section):
+class QuarantinePolicy(_Section, frozen=True, kw_only=True):
     """Requests that crash backend servers."""
 
     crashes: int = 2
@@ -123,7 +123,7 @@
     max_entries: int = 4_096
 
 
-class ReaderPolicy(_Section):
+class ReaderPolicy(_Section, frozen=True, kw_only=True):
     """Readers of the platform's configuration service.
 
     ``per_zone`` nodes of an availability zone hold a watch. All readers together
@@ -136,14 +136,14 @@
     quiet_after_ms: int = 15_000
 
 
-class SizeLimits(_Section):
+class SizeLimits(_Section, frozen=True, kw_only=True):
     """Largest bodies, in bytes."""
 
     request_bytes: int = 1_048_576
     answer_bytes: int = 4_194_304
 
 
-class Bundle(_Section):
+class Bundle(_Section, frozen=True, kw_only=True):
     """One version of the whole policy."""
 
     deployment: str
