--- /dev/null
+++ b/src/jacinthshed/internal/flow/backend_outcome.py
@@ -0,0 +1,105 @@
+"""What an exchange with the backend server proves about the request."""
+
+from enum import Enum, auto
+from typing import NamedTuple
+
+from ..admission.limit import Outcome
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Header
+
+OVERLOAD_STATUS = 503
+GATEWAY_STATUSES = frozenset({502, 504})
+VERDICT_HEADER = b"jacinthshed-verdict"
+RETRY_AFTER_MS = 250
+
+
+class BackendAnswer(NamedTuple):
+    """A whole answer of the backend server."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+class FailureCause(Enum):
+    """Why an exchange with the backend server brought no whole answer."""
+
+    BROKEN = auto()
+    TIMED_OUT = auto()
+    ABORTED = auto()
+
+
+class BackendFailure(NamedTuple):
+    """An exchange without a whole answer.
+
+    ``sent`` is true from the first byte that was handed to the connection on.
+    """
+
+    sent: bool
+    cause: FailureCause
+    detail: str
+
+
+BackendResult = BackendAnswer | BackendFailure
+
+_FAILURE_OUTCOMES = {
+    FailureCause.BROKEN: Outcome.FAILED,
+    FailureCause.TIMED_OUT: Outcome.TIMED_OUT,
+    FailureCause.ABORTED: Outcome.CANCELLED,
+}
+
+
+def refusal_from(result: BackendResult) -> Refusal | None:
+    """Return the refusal that ``result`` amounts to, or ``None`` for an answer.
+
+    A bare 503 proves nothing: the server may have begun the work and failed below.
+    """
+    if isinstance(result, BackendFailure):
+        return _refusal_from_failure(result)
+    if result.status != OVERLOAD_STATUS and result.status not in GATEWAY_STATUSES:
+        return None
+    verdict = _stated_verdict(result)
+    if verdict is Verdict.RAN:
+        return None
+    reason = (
+        Reason.SHED if result.status == OVERLOAD_STATUS else Reason.BACKEND_FAILED
+    )
+    return Refusal(
+        verdict,
+        reason,
+        RETRY_AFTER_MS,
+        f"the backend server answered {result.status}",
+    )
+
+
+def admission_outcome(result: BackendResult) -> Outcome:
+    """Return what ``result`` tells the adaptive limit."""
+    if isinstance(result, BackendFailure):
+        return _FAILURE_OUTCOMES[result.cause]
+    if result.status == OVERLOAD_STATUS:
+        return Outcome.REFUSED
+    return Outcome.OK
+
+
+def _refusal_from_failure(failure: BackendFailure) -> Refusal:
+    if not failure.sent:
+        return Refusal(
+            Verdict.NOT_RUN, Reason.UNREACHABLE, RETRY_AFTER_MS, failure.detail
+        )
+    timed_out = failure.cause is FailureCause.TIMED_OUT
+    reason = Reason.DEADLINE if timed_out else Reason.BACKEND_FAILED
+    return Refusal(Verdict.MAY_HAVE_RUN, reason, RETRY_AFTER_MS, failure.detail)
+
+
+def _stated_verdict(answer: BackendAnswer) -> Verdict:
+    for name, value in answer.headers:
+        if name == VERDICT_HEADER:
+            return _parse_verdict(value)
+    return Verdict.MAY_HAVE_RUN
+
+
+def _parse_verdict(value: bytes) -> Verdict:
+    try:
+        return Verdict(value.decode("ascii").strip().lower())
+    except ValueError:
+        return Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/src/jacinthshed/internal/flow/call.py
@@ -0,0 +1,67 @@
+"""One request as its entry node sees it."""
+
+from typing import NamedTuple
+
+from ..wire.frames import Header, Submit
+
+
+class Call(NamedTuple):
+    """A request that was read whole and matched to a route.
+
+    ``ledger_id`` names the account that its attempts' allowance comes from: its own
+    for a root request, the parent's for a nested one. ``services_below`` are the
+    services on the declared path. ``key`` is empty for an idempotent request.
+    """
+
+    request_id: str
+    root_id: str
+    root_hash: int
+    rank: int
+    route: str
+    service: str
+    services_below: frozenset[str]
+    idempotent: bool
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    deadline_at_ms: float
+    deadline_wall_ms: int
+    invested: int
+    key: str
+    ledger_id: str
+    parent_id: str
+    caller: str
+
+
+class Attempt(NamedTuple):
+    """What varies between the attempts of a call."""
+
+    attempt_id: str
+    allowance: int
+    fence: str
+
+
+def submit_frame(
+    call: Call, attempt: Attempt, *, now_ms: float, version: int, digest: bytes
+) -> Submit:
+    """Return the frame that carries ``attempt`` to its target."""
+    return Submit(
+        request_id=attempt.attempt_id,
+        root_id=call.root_id,
+        root_hash=call.root_hash,
+        rank=call.rank,
+        route=call.route,
+        method=call.method,
+        target=call.target,
+        headers=call.headers,
+        body=call.body,
+        deadline_ms=int(call.deadline_at_ms - now_ms),
+        deadline_wall_ms=call.deadline_wall_ms,
+        allowance=attempt.allowance,
+        invested=call.invested,
+        key=call.key,
+        fence=attempt.fence,
+        bundle_version=version,
+        bundle_digest=digest,
+    )
--- /dev/null
+++ b/src/jacinthshed/internal/flow/context.py
@@ -0,0 +1,75 @@
+"""Requests that run at this target, as the calls below them need to see them."""
+
+from typing import NamedTuple
+
+
+class ParentContext(NamedTuple):
+    """What a nested call inherits from the request that makes it.
+
+    ``invested`` counts the calls of the root that were done before the parent began.
+    ``idempotent`` tells whether the parent may run twice, in which case it must not
+    cause side effects below.
+    """
+
+    request_id: str
+    root_id: str
+    root_hash: int
+    rank: int
+    route: str
+    idempotent: bool
+    deadline_at_ms: float
+    invested: int
+    key: str
+
+
+class ContextRegistry:
+    """The running requests by request id, with what their nested calls have done."""
+
+    def __init__(self) -> None:
+        self._parents: dict[str, ParentContext] = {}
+        self._calls_done: dict[str, int] = {}
+        self._fences: dict[str, dict[str, str]] = {}
+        self._call_numbers: dict[str, int] = {}
+
+    def open(self, parent: ParentContext) -> None:
+        """Make ``parent`` visible to nested calls."""
+        self._parents[parent.request_id] = parent
+        self._calls_done[parent.request_id] = 0
+
+    def get(self, request_id: str) -> ParentContext | None:
+        """Return the running request of that id."""
+        return self._parents.get(request_id)
+
+    def calls_done(self, request_id: str) -> int:
+        """Return how many calls below the request were answered."""
+        return self._calls_done.get(request_id, 0)
+
+    def add_calls_done(self, request_id: str, count: int) -> None:
+        """Count answered calls; late news about an ended request is dropped."""
+        if request_id in self._calls_done:
+            self._calls_done[request_id] += count
+
+    def next_call_number(self, request_id: str) -> int:
+        """Return a number that no other call of this parent has had."""
+        number = self._call_numbers.get(request_id, 0) + 1
+        self._call_numbers[request_id] = number
+        return number
+
+    def fence_of(self, request_id: str, key: str) -> str:
+        """Return the fence that the parent's call with this key holds, or ``""``."""
+        return self._fences.get(request_id, {}).get(key, "")
+
+    def keep_fence(self, request_id: str, key: str, fence: str) -> None:
+        """Hold a nested call's fence for as long as its parent runs."""
+        if request_id in self._parents:
+            self._fences.setdefault(request_id, {})[key] = fence
+
+    def close(self, request_id: str) -> int:
+        """Forget the request; return how many calls below it were answered."""
+        self._parents.pop(request_id, None)
+        self._fences.pop(request_id, None)
+        self._call_numbers.pop(request_id, None)
+        return self._calls_done.pop(request_id, 0)
+
+    def __len__(self) -> int:
+        return len(self._parents)
--- /dev/null
+++ b/src/jacinthshed/internal/flow/idempotent.py
@@ -0,0 +1,64 @@
+"""Flow of an idempotent call: attempts at one target after the other."""
+
+from collections.abc import Generator
+
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Cancel, Reply
+from .call import Attempt, Call
+from .replies import is_whole, refusal_of
+from .retry_rules import NO_TARGET, is_retryable, refusal_for_break, worst_verdict
+from .steps import Broken, CallEnd, Event, Exchange, Replied, Step, TakeBack, TimedOut
+from .tools import CallTools
+
+CallFlow = Generator[Step, Event, CallEnd]
+
+
+def run_idempotent(call: Call, tools: CallTools) -> CallFlow:
+    """Try targets until one answers or the allowance, time or targets run out."""
+    tried: frozenset[str] = frozenset()
+    refusal = NO_TARGET
+    verdict = Verdict.NOT_RUN
+    number = 0
+    while True:
+        host = tools.pick(call, tried)
+        if host is None:
+            return _refused(refusal, verdict)
+        number += 1
+        attempt_id = f"{call.request_id}.{number}"
+        attempt = Attempt(attempt_id, tools.split(call, attempt_id), "")
+        event = yield Exchange(host, tools.frame(call, attempt))
+        reply = _whole_reply(event)
+        if reply is not None:
+            tools.give_back(call, attempt_id, reply.allowance)
+            if reply.status:
+                return CallEnd(reply, None)
+        if isinstance(event, TimedOut):
+            yield TakeBack(host, Cancel(attempt_id, "", ""))
+        refusal = refusal_of(reply) if reply is not None else refusal_for_break(event)
+        verdict = worst_verdict(verdict, refusal.verdict)
+        tried |= {host}
+        if isinstance(event, Broken) and not event.sent:
+            # Nothing left this node, so trying the next target is no further attempt.
+            tools.give_back(call, attempt_id, attempt.allowance)
+            continue
+        if not is_retryable(refusal) or not tools.may_retry(call):
+            return _refused(refusal, verdict)
+        if not tools.spend(call):
+            return _refused(refusal, verdict)
+        tools.log("retry", call=call, host=host, reason=refusal.reason)
+
+
+def run_shed(retry_after_ms: int) -> CallEnd:
+    """Return the end of a call that a service on its path would shed now."""
+    refusal = Refusal(Verdict.NOT_RUN, Reason.SHED, retry_after_ms)
+    return CallEnd(None, refusal)
+
+
+def _whole_reply(event: Event) -> Reply | None:
+    if isinstance(event, Replied) and is_whole(event.reply):
+        return event.reply
+    return None
+
+
+def _refused(refusal: Refusal, verdict: Verdict) -> CallEnd:
+    return CallEnd(None, refusal._replace(verdict=verdict))
--- /dev/null
+++ b/src/jacinthshed/internal/flow/replies.py
@@ -0,0 +1,65 @@
+"""Replies to attempts, from answers and from refusals."""
+
+import xxhash
+
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Header, Reply
+
+NOTHING_SHED_RANK = 101
+
+
+def answer_reply(
+    request_id: str, *, status: int, headers: tuple[Header, ...], body: bytes
+) -> Reply:
+    """Return the reply that carries a backend server's whole answer."""
+    return Reply(
+        request_id=request_id,
+        status=status,
+        headers=headers,
+        body=body,
+        checksum=xxhash.xxh3_64_intdigest(body),
+        verdict=Verdict.RAN,
+        reason="",
+        detail="",
+        retry_after_ms=0,
+        allowance=0,
+        calls_done=0,
+        load=0.0,
+        shed_rank=NOTHING_SHED_RANK,
+        shed_hash=0,
+    )
+
+
+def refusal_reply(request_id: str, refusal: Refusal) -> Reply:
+    """Return the reply that carries a refusal."""
+    return Reply(
+        request_id=request_id,
+        status=0,
+        headers=(),
+        body=b"",
+        checksum=0,
+        verdict=refusal.verdict,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
+        allowance=0,
+        calls_done=0,
+        load=0.0,
+        shed_rank=NOTHING_SHED_RANK,
+        shed_hash=0,
+    )
+
+
+def is_whole(reply: Reply) -> bool:
+    """Return whether the body is the one that the target sent."""
+    return not reply.status or reply.checksum == xxhash.xxh3_64_intdigest(reply.body)
+
+
+def refusal_of(reply: Reply) -> Refusal:
+    """Return the refusal inside ``reply``."""
+    return Refusal(
+        verdict=Verdict(reply.verdict),
+        reason=Reason(reply.reason),
+        retry_after_ms=reply.retry_after_ms,
+        detail=reply.detail,
+    )
--- /dev/null
+++ b/src/jacinthshed/internal/flow/steps.py
@@ -0,0 +1,106 @@
+"""What a call's flow asks of the tasks around it, and what it hears back.
+
+A flow is a generator: it yields a step and is sent the event that ends the step.
+"""
+
+from typing import NamedTuple
+
+from ..verdict import Refusal
+from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit, Succeed
+
+
+class Ready(NamedTuple):
+    """Have a link to ``host``; ends with ``LinkReady`` or ``Broken``."""
+
+    host: str
+
+
+class Exchange(NamedTuple):
+    """Submit to ``host``; ends with ``Replied``, ``Broken`` or ``TimedOut``."""
+
+    host: str
+    submit: Submit
+
+
+class AskAll(NamedTuple):
+    """Send each host its ``Revoke``; ends with ``AllAsked``."""
+
+    asks: tuple[tuple[str, Revoke], ...]
+
+
+class AskSuccession(NamedTuple):
+    """Ask ``host`` to grant a successor; ends with ``SuccessionAnswered``."""
+
+    host: str
+    succeed: Succeed
+
+
+class TakeBack(NamedTuple):
+    """Send ``cancel`` to ``host`` without waiting; ends with ``Done``."""
+
+    host: str
+    cancel: Cancel
+
+
+class Announce(NamedTuple):
+    """Tell the caller its fence ahead of the answer; ends with ``Done``."""
+
+    fence: str
+
+
+class Pause(NamedTuple):
+    """Wait; ends with ``Done``."""
+
+    wait_ms: float
+
+
+Step = Ready | Exchange | AskAll | AskSuccession | TakeBack | Announce | Pause
+
+
+class LinkReady(NamedTuple):
+    """A link to that incarnation of the host's node is open."""
+
+    incarnation: int
+
+
+class Replied(NamedTuple):
+    """The target replied."""
+
+    reply: Reply
+
+
+class Broken(NamedTuple):
+    """The link failed; ``sent`` tells whether the frame may have left."""
+
+    sent: bool
+
+
+class TimedOut(NamedTuple):
+    """The call's deadline passed first."""
+
+
+class AllAsked(NamedTuple):
+    """What each asked host answered; ``None`` for a host that could not be asked."""
+
+    answers: tuple[tuple[str, Revoked | None], ...]
+
+
+class SuccessionAnswered(NamedTuple):
+    """Whether the successor may go on; false as well when the host is unreachable."""
+
+    granted: bool
+
+
+class Done(NamedTuple):
+    """The step was carried out."""
+
+
+Event = LinkReady | Replied | Broken | TimedOut | AllAsked | SuccessionAnswered | Done
+
+
+class CallEnd(NamedTuple):
+    """How a call ended: with an answer in ``reply``, or with a refusal."""
+
+    reply: Reply | None
+    refusal: Refusal | None
+    fence: str = ""
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -21,6 +21,8 @@
     StatusAsk,
     StatusData,
     Submit,
+    Succeed,
+    Succeeded,
 )
 
 PROTOCOL_VERSION = 1
@@ -34,6 +36,8 @@
     Cancel,
     Revoke,
     Revoked,
+    Succeed,
+    Succeeded,
     Gossip,
     Heartbeat,
     Leaving,
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -2,7 +2,7 @@
 
 Every frame is a named tuple of msgpack types, so that its layout on the wire is its
 field order. Times on the wire are spans in milliseconds, as clocks of two hosts
-differ; the only wall-clock times are inside fences.
+differ; wall-clock times are compared only with the skew that the bundle allows.
 """
 
 from typing import NamedTuple
@@ -27,7 +27,8 @@
 class Submit(NamedTuple):
     """One attempt of a request.
 
-    ``deadline_ms`` is the time left. ``root_hash`` orders requests of the same rank
+    ``deadline_ms`` is the time left and ``deadline_wall_ms`` the same moment on the
+    sender's wall clock, so that a target which slept through it can tell. ``root_hash`` orders requests of the same rank
     alike at every layer. ``invested`` counts the calls of the same root that are
     already done. ``allowance`` is what the sender gives away of the root's retries.
     ``fence`` and ``key`` are empty for idempotent requests.
@@ -43,6 +44,7 @@
     headers: tuple[Header, ...]
     body: bytes
     deadline_ms: int
+    deadline_wall_ms: int
     allowance: int
     invested: int
     key: str
@@ -106,6 +108,26 @@
     uptime_ms: int
 
 
+class Succeed(NamedTuple):
+    """Asks the target of a refused fence to let ``successor`` take its place.
+
+    The target grants one successor at most, so that two entry nodes which were both
+    told *not run* never both go on.
+    """
+
+    request_id: str
+    key: str
+    fence: str
+    successor: str
+
+
+class Succeeded(NamedTuple):
+    """Answer to ``Succeed``."""
+
+    request_id: str
+    granted: bool
+
+
 class MemberRecord(NamedTuple):
     """What is told about one node.
 
@@ -181,6 +203,8 @@
     | Cancel
     | Revoke
     | Revoked
+    | Succeed
+    | Succeeded
     | Gossip
     | Heartbeat
     | Leaving
