--- /dev/null
+++ b/src/jacinthshed/internal/http/client.py
@@ -0,0 +1,145 @@
+"""Pooled connections to one backend server."""
+
+from collections import deque
+
+import h11
+import trio
+
+from .errors import BadResponseError
+from .exchange import ClientConnection, Informational
+from .message import Request
+from .network import Connect
+from .outcome import ExchangeFailed, Outcome
+
+_MS_PER_S = 1_000
+
+
+class BackendPool:
+    """Connections to one address, at most ``max_connections`` at once.
+
+    A connection whose exchange did not end with a whole response is closed and never
+    used again, so that no late bytes can be taken for the answer to another request.
+    """
+
+    def __init__(
+        self,
+        *,
+        connect: Connect,
+        address: str,
+        max_connections: int,
+        connect_timeout_ms: int = 1_000,
+        idle_ms: int = 30_000,
+    ) -> None:
+        self._connect = connect
+        self._address = address
+        self._connect_timeout_s = connect_timeout_ms / _MS_PER_S
+        self._idle_s = idle_ms / _MS_PER_S
+        self._free = trio.Semaphore(max_connections)
+        self._idle: deque[ClientConnection] = deque()
+        self._closed = False
+
+    async def request(
+        self,
+        request: Request,
+        *,
+        timeout_ms: float,
+        max_body_bytes: int,
+        informational: Informational | None = None,
+    ) -> Outcome:
+        """Send ``request`` at most once and return how that ended.
+
+        ``timeout_ms`` covers the wait for a connection as well. When this is
+        cancelled, the connection is closed, which cancels the request at the server.
+        """
+        attempt = _Attempt()
+        with trio.move_on_after(timeout_ms / _MS_PER_S):
+            return await self._attempt(attempt, request, max_body_bytes, informational)
+        return ExchangeFailed(attempt.sent, "timeout")
+
+    async def close(self) -> None:
+        """Close the idle connections; those in use close when their exchange ends."""
+        self._closed = True
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop().stream)
+
+    async def _attempt(
+        self,
+        attempt: "_Attempt",
+        request: Request,
+        max_body_bytes: int,
+        informational: Informational | None,
+    ) -> Outcome:
+        async with self._free:
+            try:
+                attempt.connection = await self._take_connection()
+            except _ConnectError as error:
+                return ExchangeFailed(False, str(error))
+            return await self._exchange(
+                attempt.connection, request, max_body_bytes, informational
+            )
+
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        request: Request,
+        max_body_bytes: int,
+        informational: Informational | None,
+    ) -> Outcome:
+        try:
+            return await connection.exchange(
+                request, max_body_bytes=max_body_bytes, informational=informational
+            )
+        except BadResponseError as error:
+            return ExchangeFailed(connection.sent, str(error))
+        except h11.LocalProtocolError as error:
+            return ExchangeFailed(False, f"the request can't be written: {error}")
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return ExchangeFailed(connection.sent, "the connection broke")
+        finally:
+            await self._put_back(connection)
+
+    async def _take_connection(self) -> ClientConnection:
+        await self._drop_expired()
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_closed_by_peer():
+                return connection
+            await trio.aclose_forcefully(connection.stream)
+        return await self._open()
+
+    async def _open(self) -> ClientConnection:
+        with trio.move_on_after(self._connect_timeout_s):
+            try:
+                stream = await self._connect(self._address)
+            except (OSError, trio.BrokenResourceError) as error:
+                raise _ConnectError(f"no connection: {error}") from error
+            return ClientConnection(stream=stream)
+        raise _ConnectError("connecting timed out")
+
+    async def _drop_expired(self) -> None:
+        """Close the longest idle connections; they stand at the left."""
+        oldest_s = trio.current_time() - self._idle_s
+        while self._idle and self._idle[0].idle_since_s < oldest_s:
+            await trio.aclose_forcefully(self._idle.popleft().stream)
+
+    async def _put_back(self, connection: ClientConnection) -> None:
+        if connection.reusable and not self._closed:
+            connection.idle_since_s = trio.current_time()
+            self._idle.append(connection)
+            return
+        await trio.aclose_forcefully(connection.stream)
+
+
+class _ConnectError(Exception):
+    """No connection could be opened."""
+
+
+class _Attempt:
+    """The connection that a request went to, as far as it is known."""
+
+    def __init__(self) -> None:
+        self.connection: ClientConnection | None = None
+
+    @property
+    def sent(self) -> bool:
+        return self.connection is not None and self.connection.sent
--- /dev/null
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -0,0 +1,176 @@
+"""One connection to a backend server, and one exchange on it."""
+
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from .errors import BadResponseError
+from .head import HEAD_END
+from .message import (
+    CONNECTION,
+    CONTENT_LENGTH,
+    Request,
+    Response,
+    header,
+    without_connection_fields,
+)
+
+Informational = Callable[[Response], Awaitable[None]]
+
+_RECEIVE_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+_METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+_NO_BODY_STATUSES = (204, 304)
+
+
+class ClientConnection:
+    """A connection that carries one exchange at a time.
+
+    ``sent`` tells whether the current request was handed to the socket, ``reusable``
+    whether the last exchange left the connection fit for another.
+    """
+
+    def __init__(self, *, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self.sent = False
+        self.reusable = True
+        self.idle_since_s = 0.0
+        self._received = bytearray()
+
+    async def exchange(
+        self,
+        request: Request,
+        *,
+        max_body_bytes: int,
+        informational: Informational | None = None,
+    ) -> Response:
+        """Send ``request`` and return the whole response.
+
+        Raises ``BadResponseError``, or trio's errors of a broken stream.
+        """
+        self.sent = False
+        self.reusable = False
+        library = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+        data = _encode(request, library)
+        self.sent = True
+        await self.stream.send_all(data)
+        event = await self._read_final_head(library, informational)
+        body = await self._read_body(request, event, library, max_body_bytes)
+        self.reusable = self.reusable and not self._received
+        return Response(event.status_code, _kept_headers(request, event), body)
+
+    def is_closed_by_peer(self) -> bool:
+        """Return whether an idle connection has something to read: its end."""
+        socket = getattr(self.stream, "socket", None)
+        return socket is not None and socket.is_readable()
+
+    async def _read_final_head(
+        self, library: h11.Connection, informational: Informational | None
+    ) -> h11.Response:
+        while True:
+            library.receive_data(await self._read_head())
+            event = _next_event(library)
+            if type(event) is h11.Response:
+                return event
+            if type(event) is not h11.InformationalResponse:
+                raise BadResponseError("the head is no response")
+            if informational is not None:
+                headers = without_connection_fields(event.headers)
+                await informational(Response(event.status_code, headers))
+
+    async def _read_head(self) -> bytes:
+        searched = 0
+        while (end := self._received.find(HEAD_END, searched)) < 0:
+            if len(self._received) > _MAX_HEAD_BYTES:
+                raise BadResponseError("the head of the response is too large")
+            searched = max(0, len(self._received) - len(HEAD_END))
+            await self._receive_more()
+        return self._take(end + len(HEAD_END))
+
+    async def _read_body(
+        self,
+        request: Request,
+        event: h11.Response,
+        library: h11.Connection,
+        max_body_bytes: int,
+    ) -> bytes:
+        headers = tuple(event.headers)
+        self.reusable = _keeps_alive(event, headers)
+        if request.method == b"HEAD" or event.status_code in _NO_BODY_STATUSES:
+            return b""
+        length = header(headers, CONTENT_LENGTH)
+        chunked = header(headers, b"transfer-encoding") is not None
+        if length is not None and not chunked:
+            return await self._read_counted(int(length), max_body_bytes)
+        self.reusable = self.reusable and chunked
+        return await self._read_events(library, max_body_bytes)
+
+    async def _read_counted(self, length: int, max_body_bytes: int) -> bytes:
+        if length > max_body_bytes:
+            raise BadResponseError(f"the body is over {max_body_bytes} bytes")
+        while len(self._received) < length:
+            await self._receive_more()
+        return self._take(length)
+
+    async def _read_events(self, library: h11.Connection, max_body_bytes: int) -> bytes:
+        """Read a body that is chunked, or that ends with the connection."""
+        body = bytearray()
+        library.receive_data(self._take(len(self._received)))
+        while True:
+            event = _next_event(library)
+            if type(event) is h11.EndOfMessage:
+                self._received += library.trailing_data[0]
+                return bytes(body)
+            if type(event) is h11.Data:
+                body += event.data
+            elif event is h11.NEED_DATA:
+                library.receive_data(await self._receive())
+            else:
+                raise BadResponseError("the body ends before its length")
+            if len(body) > max_body_bytes:
+                raise BadResponseError(f"the body is over {max_body_bytes} bytes")
+
+    async def _receive(self) -> bytes:
+        return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+
+    async def _receive_more(self) -> None:
+        data = await self._receive()
+        if not data:
+            raise BadResponseError("the connection closed before the whole response")
+        self._received += data
+
+    def _take(self, count: int) -> bytes:
+        taken = bytes(self._received[:count])
+        del self._received[:count]
+        return taken
+
+
+def _encode(request: Request, library: h11.Connection) -> bytes:
+    headers = list(request.headers)
+    if request.body or request.method in _METHODS_WITH_BODY:
+        headers.append((CONTENT_LENGTH, str(len(request.body)).encode()))
+    event = h11.Request(method=request.method, target=request.target, headers=headers)
+    return (library.send(event) or b"") + request.body
+
+
+def _next_event(library: h11.Connection) -> object:
+    try:
+        return library.next_event()
+    except h11.RemoteProtocolError as error:
+        raise BadResponseError(str(error)) from error
+
+
+def _keeps_alive(event: h11.Response, headers: tuple[tuple[bytes, bytes], ...]) -> bool:
+    tokens = (header(headers, CONNECTION) or b"").lower()
+    return event.http_version == b"1.1" and b"close" not in tokens
+
+
+def _kept_headers(
+    request: Request, event: h11.Response
+) -> tuple[tuple[bytes, bytes], ...]:
+    kept = without_connection_fields(event.headers)
+    if request.method != b"HEAD":
+        return kept
+    length = header(tuple(event.headers), CONTENT_LENGTH)
+    return kept if length is None else (*kept, (CONTENT_LENGTH, length))
--- /dev/null
+++ b/src/jacinthshed/internal/http/head.py
@@ -0,0 +1,87 @@
+"""Strict checks of a request's head, beyond those of the HTTP library.
+
+Each of these rules closes a way in which two HTTP parsers in a row can come to
+different ends of one message, so that a second request hides in the first.
+"""
+
+import h11
+
+from .errors import BadRequestError
+from .message import CONTENT_LENGTH, header
+
+HEAD_END = b"\r\n\r\n"
+
+_CONTENT_LENGTH_LINE = b"\ncontent-length:"
+_MAX_LENGTH_DIGITS = 15
+
+
+def check_start(received: bytearray) -> None:
+    """Refuse what can't become a head, however much more comes.
+
+    Raises ``BadRequestError``.
+    """
+    if received and received[0] <= 0x20:
+        raise BadRequestError(400, "start the connection with a request line")
+    line_feed = received.find(b"\n")
+    if line_feed > 0 and received[line_feed - 1] != 0x0D:
+        raise BadRequestError(400, "end each line of the head with CR LF")
+
+
+def parse_head(head: bytes, connection: h11.Connection) -> h11.Request:
+    """Return the request line and fields of the whole ``head``.
+
+    Raises ``BadRequestError``.
+    """
+    _check_lines(head)
+    _check_content_length(head)
+    connection.receive_data(head)
+    try:
+        event = connection.next_event()
+    except h11.RemoteProtocolError as error:
+        raise BadRequestError(error.error_status_hint, str(error)) from error
+    if type(event) is not h11.Request:
+        raise BadRequestError(400, "send a request line and header fields")
+    _check_request(event)
+    return event
+
+
+def body_length(event: h11.Request) -> int | None:
+    """Return the length of the body in bytes, or ``None`` for a chunked one."""
+    headers = tuple(event.headers)
+    if header(headers, b"transfer-encoding") is not None:
+        return None
+    return int(header(headers, CONTENT_LENGTH) or 0)
+
+
+def _check_lines(head: bytes) -> None:
+    line_ends = head.count(b"\r\n")
+    if head.count(b"\n") != line_ends or head.count(b"\r") != line_ends:
+        raise BadRequestError(400, "end each line of the head with CR LF")
+    if b"\n " in head or b"\n\t" in head:
+        raise BadRequestError(400, "write each header field on one line")
+
+
+def _check_content_length(head: bytes) -> None:
+    lowered = head.lower()
+    start = lowered.find(_CONTENT_LENGTH_LINE)
+    if start < 0:
+        return
+    start += len(_CONTENT_LENGTH_LINE)
+    if lowered.find(_CONTENT_LENGTH_LINE, start) >= 0:
+        raise BadRequestError(400, "send one Content-Length field")
+    value = head[start : head.index(b"\r", start)].strip(b" \t")
+    if not value.isdigit() or len(value) > _MAX_LENGTH_DIGITS:
+        raise BadRequestError(400, "send Content-Length as one decimal number")
+
+
+def _check_request(event: h11.Request) -> None:
+    target = event.target
+    if not target.startswith(b"/") or b"#" in target:
+        raise BadRequestError(400, "write the request target as an absolute path")
+    headers = tuple(event.headers)
+    if header(headers, b"transfer-encoding") is None:
+        return
+    if header(headers, CONTENT_LENGTH) is not None:
+        raise BadRequestError(400, "send Content-Length or Transfer-Encoding, not both")
+    if event.http_version != b"1.1":
+        raise BadRequestError(400, "send Transfer-Encoding with HTTP/1.1 only")
--- /dev/null
+++ b/src/jacinthshed/internal/http/message.py
@@ -0,0 +1,81 @@
+"""HTTP messages as they travel through a node, free of any connection's framing."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+Header = tuple[bytes, bytes]
+Headers = tuple[Header, ...]
+
+CONTENT_LENGTH = b"content-length"
+CONNECTION = b"connection"
+PROBLEM_JSON = b"application/problem+json"
+
+# Fields that concern one connection only. Length fields are among them because a
+# message carries its whole body, so that each connection frames it afresh.
+_CONNECTION_FIELDS = frozenset(
+    (
+        CONNECTION,
+        CONTENT_LENGTH,
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+class Request(NamedTuple):
+    """A whole request.
+
+    Names in ``headers`` are lower-case; fields of the connection are removed.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+class Response(NamedTuple):
+    """A whole response, or an interim one when ``status`` is below 200."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+
+def header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of the field with the lower-case ``name``."""
+    for field, value in headers:
+        if field == name:
+            return value
+    return None
+
+
+def without_connection_fields(headers: Iterable[Header]) -> Headers:
+    """Return ``headers`` less those that concern one connection only.
+
+    These are the fixed ones and those that a ``Connection`` field names.
+    """
+    fields = tuple(headers)
+    kept = tuple(field for field in fields if field[0] not in _CONNECTION_FIELDS)
+    named = _named_by_connection(fields)
+    if not named:
+        return kept
+    return tuple(field for field in kept if field[0] not in named)
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    if header(headers, CONNECTION) is None:
+        return frozenset()
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name == CONNECTION
+        for token in value.split(b",")
+    )
--- /dev/null
+++ b/src/jacinthshed/internal/http/network.py
@@ -0,0 +1,89 @@
+"""The two functions through which a process reaches others, and their TCP form."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, Protocol
+
+import trio
+
+StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
+Connect = Callable[[str], Awaitable[trio.abc.Stream]]
+
+_BACKLOG = 1_024
+
+
+class Listen(Protocol):
+    """Accepts connections until it is cancelled."""
+
+    async def __call__(
+        self,
+        address: str,
+        handler: StreamHandler,
+        *,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen on ``address`` and run ``handler`` for each connection.
+
+        Reports the address in use, with its real port, through ``task_status``.
+        """
+
+
+class Network(NamedTuple):
+    """How a process connects to an address and listens on one."""
+
+    connect: Connect
+    listen: Listen
+
+
+def tcp_network() -> Network:
+    """Return the network of this host. Addresses are ``IP:port``."""
+    return Network(connect=_connect, listen=_listen)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``address``.
+
+    Raises ``ValueError`` when it isn't of the form ``IP:port`` or ``[IPv6]:port``.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not host or not port.isdecimal():
+        raise ValueError(f"{address!r} is no address; write it as IP:port")
+    return host, int(port)
+
+
+def _family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
+async def _connect(address: str) -> trio.SocketStream:
+    host, port = split_address(address)
+    connection = trio.socket.socket(_family(host), socket.SOCK_STREAM)
+    try:
+        await connection.connect((host, port))
+        return trio.SocketStream(connection)  # Sets TCP_NODELAY.
+    except BaseException:
+        connection.close()
+        raise
+
+
+async def _listen(
+    address: str,
+    handler: StreamHandler,
+    *,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
+    bound = _printed(listeners[0].socket.getsockname())
+
+    async def report_and_serve() -> None:
+        task_status.started(bound)
+        await trio.serve_listeners(handler, listeners)
+
+    await report_and_serve()
+
+
+def _printed(name: tuple[Any, ...]) -> str:
+    host, port = name[0], name[1]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/src/jacinthshed/internal/http/problem.py
@@ -0,0 +1,49 @@
+"""Refusals as ``application/problem+json`` (RFC 9457)."""
+
+import math
+
+import msgspec
+
+from ..verdict import HTTP_STATUS, Reason, Refusal, Verdict
+from .message import PROBLEM_JSON, Header, Response
+
+VERDICT_FIELD = b"jacinthshed-verdict"
+REQUEST_FIELD = b"jacinthshed-request"
+
+_MS_PER_S = 1_000
+
+
+def refusal_response(
+    refusal: Refusal, *, request_id: str = "", status: int | None = None
+) -> Response:
+    """Return the response that tells ``refusal``.
+
+    ``status`` replaces the usual status of the refusal's reason.
+    """
+    chosen = HTTP_STATUS[refusal.reason] if status is None else status
+    document = {
+        "type": "about:blank",
+        "title": refusal.reason.replace("-", " "),
+        "status": chosen,
+        "detail": refusal.detail,
+        "verdict": refusal.verdict,
+        "reason": refusal.reason,
+        "retry_after_ms": refusal.retry_after_ms,
+    }
+    headers: list[Header] = [
+        (b"content-type", PROBLEM_JSON),
+        (VERDICT_FIELD, refusal.verdict.encode()),
+    ]
+    if request_id:
+        headers.append((REQUEST_FIELD, request_id.encode()))
+    if refusal.retry_after_ms > 0:
+        wait_s = math.ceil(refusal.retry_after_ms / _MS_PER_S)
+        headers.append((b"retry-after", str(wait_s).encode()))
+    return Response(chosen, tuple(headers), msgspec.json.encode(document))
+
+
+def malformed_response(status: int, detail: str) -> Response:
+    """Return the response to bytes that never became a request."""
+    reason = Reason.TOO_LARGE if status in (413, 431) else Reason.MALFORMED
+    refusal = Refusal(Verdict.NOT_RUN, reason, detail=detail)
+    return refusal_response(refusal, status=status)
--- /dev/null
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -0,0 +1,155 @@
+"""Reads whole requests from one connection."""
+
+from typing import NamedTuple
+
+import h11
+import trio
+
+from .drain import Drain
+from .errors import BadRequestError
+from .head import HEAD_END, body_length, check_start, parse_head
+from .limits import HttpLimits
+from .message import Request, without_connection_fields
+
+_RECEIVE_BYTES = 65_536
+_MS_PER_S = 1_000
+
+
+class IncomingRequest(NamedTuple):
+    """A whole request, and the library's state for writing its response."""
+
+    request: Request
+    connection: h11.Connection
+
+
+class RequestReader:
+    """Bytes that were received on a connection and are not yet part of a request."""
+
+    def __init__(
+        self, *, stream: trio.abc.Stream, limits: HttpLimits, drain: Drain
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._drain = drain
+        self._received = bytearray()
+
+    async def read(self) -> IncomingRequest | None:
+        """Return the next request, or ``None`` when the connection is over.
+
+        Raises ``BadRequestError`` for anything else than a whole request in time.
+        """
+        with trio.CancelScope() as scope:
+            if not await self._wait_for_start(scope):
+                return None
+            scope.deadline = trio.current_time() + self._limits.read_ms / _MS_PER_S
+            return await self._read_whole()
+        if not self._received:
+            return None
+        raise BadRequestError(
+            408, f"send the whole request within {self._limits.read_ms} ms"
+        )
+
+    async def _wait_for_start(self, scope: trio.CancelScope) -> bool:
+        if self._received:
+            return True
+        scope.deadline = trio.current_time() + self._limits.idle_ms / _MS_PER_S
+        self._drain.enter_idle(scope)
+        try:
+            return await self._receive()
+        finally:
+            self._drain.leave_idle(scope)
+
+    async def _receive(self) -> bool:
+        """Receive some bytes; return whether there were any."""
+        data = await self._stream.receive_some(_RECEIVE_BYTES)
+        self._received += data
+        return bool(data)
+
+    async def _read_whole(self) -> IncomingRequest:
+        head = await self._read_head()
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
+        )
+        event = parse_head(head, connection)
+        body = await self._read_body(event, connection)
+        headers = without_connection_fields(event.headers)
+        request = Request(event.method, event.target, headers, body)
+        return IncomingRequest(request, connection)
+
+    async def _read_head(self) -> bytes:
+        searched = 0
+        while True:
+            check_start(self._received)
+            end = self._received.find(HEAD_END, searched)
+            if end >= 0:
+                break
+            if len(self._received) > self._limits.head_bytes:
+                break
+            searched = max(0, len(self._received) - len(HEAD_END))
+            await self._receive_more()
+        if end < 0 or end > self._limits.head_bytes:
+            raise BadRequestError(
+                431, f"send at most {self._limits.head_bytes} bytes of header fields"
+            )
+        return self._take(end + len(HEAD_END))
+
+    async def _read_body(self, event: h11.Request, connection: h11.Connection) -> bytes:
+        length = body_length(event)
+        if length == 0:
+            return b""
+        if length is not None and length > self._limits.body_bytes:
+            raise self._too_large()
+        if connection.they_are_waiting_for_100_continue and not self._received:
+            await self._send_continue(connection)
+        if length is None:
+            return await self._read_chunked(connection)
+        while len(self._received) < length:
+            await self._receive_more()
+        return self._take(length)
+
+    async def _read_chunked(self, connection: h11.Connection) -> bytes:
+        body = bytearray()
+        while True:
+            received = bytes(self._received)
+            self._received.clear()
+            if received:
+                connection.receive_data(received)
+            if self._add_chunks(connection, body):
+                self._received += connection.trailing_data[0]
+                return bytes(body)
+            await self._receive_more()
+
+    def _add_chunks(self, connection: h11.Connection, body: bytearray) -> bool:
+        """Add the chunks at hand to ``body``; return whether it is whole."""
+        while True:
+            try:
+                event = connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BadRequestError(400, str(error)) from error
+            if type(event) is h11.EndOfMessage:
+                return True
+            if type(event) is not h11.Data:
+                return False
+            body += event.data
+            if len(body) > self._limits.body_bytes:
+                raise self._too_large()
+
+    async def _send_continue(self, connection: h11.Connection) -> None:
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        data = connection.send(interim)
+        assert data is not None
+        await self._stream.send_all(data)
+
+    async def _receive_more(self) -> None:
+        if not await self._receive():
+            raise BadRequestError(400, "the connection closed inside a request")
+
+    def _take(self, count: int) -> bytes:
+        taken = bytes(self._received[:count])
+        del self._received[:count]
+        return taken
+
+    def _too_large(self) -> BadRequestError:
+        return BadRequestError(
+            413, f"send a body of at most {self._limits.body_bytes} bytes"
+        )
