--- a/src/jacinthshed/internal/admission/__init__.py
+++ b/src/jacinthshed/internal/admission/__init__.py
@@ -1,1 +1,26 @@
 """Admission at a target: adaptive limit, ordered queue, shed level."""
+
+from .admission import Admission
+from .decision import Decision, Refuse, Start
+from .levels import LevelTable
+from .limit import AdaptiveLimit
+from .outcome import Outcome
+from .shed_level import ALL_SHED, NOTHING_SHED, ShedLevel, stricter
+from .work import ROOT_HASH_SPAN, Work, hash_of_root
+
+__all__ = [
+    "ALL_SHED",
+    "NOTHING_SHED",
+    "ROOT_HASH_SPAN",
+    "AdaptiveLimit",
+    "Admission",
+    "Decision",
+    "LevelTable",
+    "Outcome",
+    "Refuse",
+    "ShedLevel",
+    "Start",
+    "Work",
+    "hash_of_root",
+    "stricter",
+]
--- /dev/null
+++ b/src/jacinthshed/internal/admission/latency.py
@@ -0,0 +1,36 @@
+"""Latency of one route at one target."""
+
+BATCH_SAMPLES = 16
+FALL_WEIGHT = 0.3
+RISE_WEIGHT = 0.01
+HOLD_WEIGHT = 0.1
+
+
+class RouteLatency:
+    """Baseline of the backend server's own time, and the whole time a slot is held.
+
+    The baseline follows the mean of short batches: quickly down and very slowly up, so
+    that it stays near the latency of an unloaded server. It is kept for each route, as
+    otherwise a shift in the mix of routes would look like a change in load.
+    """
+
+    def __init__(self, first_own_ms: float, first_hold_ms: float) -> None:
+        self.baseline_ms = first_own_ms
+        self.hold_ms = first_hold_ms
+        self._batch_ms = 0.0
+        self._batch_samples = 0
+
+    def note(self, own_ms: float, hold_ms: float) -> None:
+        """Take in one answer: the server's own time and the time of the whole call."""
+        self.hold_ms += HOLD_WEIGHT * (hold_ms - self.hold_ms)
+        self._batch_ms += own_ms
+        self._batch_samples += 1
+        if self._batch_samples >= BATCH_SAMPLES:
+            self._close_batch()
+
+    def _close_batch(self) -> None:
+        mean_ms = self._batch_ms / self._batch_samples
+        weight = FALL_WEIGHT if mean_ms < self.baseline_ms else RISE_WEIGHT
+        self.baseline_ms += weight * (mean_ms - self.baseline_ms)
+        self._batch_ms = 0.0
+        self._batch_samples = 0
--- /dev/null
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -0,0 +1,82 @@
+"""Chooses the shed level of a target from what arrives and what can be served.
+
+The level is not read off the queue at one moment: that would swing between "all" and
+"nothing" with each round trip. It is set once a window so that the part of the demand
+below it just fills the slots and half the queue.
+"""
+
+from .shed_level import NOTHING_SHED, ShedLevel
+from .work import ROOT_HASH_SPAN
+
+WINDOW_MS = 50.0
+MAX_ARRIVALS = 1_024
+GROWTH_FACTOR = 2.0
+GROWTH_SPAN = ROOT_HASH_SPAN // 4
+RANK_TTL_MS = 30_000.0
+
+
+class LevelControl:
+    """The shed level of one target, renewed once a window."""
+
+    def __init__(self) -> None:
+        self.level = NOTHING_SHED
+        self._arrivals: list[tuple[int, int]] = []
+        self._finished = 0
+        self._shed = False
+        self._window_ends_ms: float | None = None
+        self._rank_seen_ms: dict[int, float] = {}
+
+    def note_arrival(self, now_ms: float, rank: int, root_hash: int) -> None:
+        """Count an attempt that asked for a slot."""
+        self._rank_seen_ms[rank] = now_ms
+        if len(self._arrivals) < MAX_ARRIVALS:
+            self._arrivals.append((rank, root_hash))
+
+    def note_finished(self) -> None:
+        """Count a slot that became free."""
+        self._finished += 1
+
+    def note_shed(self) -> None:
+        """Remember that work was refused for load in this window."""
+        self._shed = True
+
+    def renew(self, now_ms: float, free: int) -> None:
+        """Close the window, if it is over.
+
+        ``free`` is how many more entries would bring the queue to half its capacity,
+        slots included; it is negative when the queue is longer than that.
+        """
+        if self._window_ends_ms is None:
+            self._window_ends_ms = now_ms + WINDOW_MS
+        if now_ms < self._window_ends_ms:
+            return
+        wanted = max(0, self._finished + free)
+        if self._shed or self.level != NOTHING_SHED:
+            self._move(now_ms, wanted)
+        self._arrivals.clear()
+        self._finished = 0
+        self._shed = False
+        self._window_ends_ms = now_ms + WINDOW_MS
+
+    def _move(self, now_ms: float, wanted: int) -> None:
+        if len(self._arrivals) > wanted:
+            self._arrivals.sort()
+            self.level = min(self.level, ShedLevel(*self._arrivals[wanted]))
+        elif not self._shed:
+            self.level = self._looser(now_ms)
+
+    def _looser(self, now_ms: float) -> ShedLevel:
+        """Return the next step of re-admission.
+
+        A rank opens over several windows, so that the demand that was held back does
+        not come at once. Ranks that nobody asks for are passed over.
+        """
+        rank, root_hash = self.level
+        opened = max(root_hash * GROWTH_FACTOR, root_hash + GROWTH_SPAN)
+        if opened < ROOT_HASH_SPAN:
+            return ShedLevel(rank, int(opened))
+        oldest_ms = now_ms - RANK_TTL_MS
+        higher = [
+            r for r, at in self._rank_seen_ms.items() if r > rank and at > oldest_ms
+        ]
+        return ShedLevel(min(higher), GROWTH_SPAN) if higher else NOTHING_SHED
--- /dev/null
+++ b/src/jacinthshed/internal/admission/shed_level.py
@@ -0,0 +1,25 @@
+"""The boundary between work that a target would take and work that it would shed."""
+
+from typing import NamedTuple
+
+from ..bundle.model import MAX_RANK
+
+
+class ShedLevel(NamedTuple):
+    """Work whose ``(rank, root_hash)`` is not below this level would be refused now."""
+
+    rank: int
+    root_hash: int
+
+    def sheds(self, rank: int, root_hash: int) -> bool:
+        """Whether work of this rank and root would be refused."""
+        return (rank, root_hash) >= self
+
+
+NOTHING_SHED = ShedLevel(MAX_RANK + 1, 0)
+ALL_SHED = ShedLevel(0, 0)
+
+
+def stricter(one: ShedLevel, other: ShedLevel) -> ShedLevel:
+    """Return the level that sheds more."""
+    return min(one, other)
