--- /dev/null
+++ b/src/jacinthshed/internal/bundle/route_checks.py
@@ -0,0 +1,65 @@
+"""Checks of each route of a bundle, but for its calls."""
+
+import re
+from collections.abc import Iterator
+
+from ..settings.problem import Problem
+from .model import MAX_RANK, Bundle, Route
+from .shared_checks import (
+    NAME_EXPECTED,
+    PATH_EXPECTED,
+    is_name,
+    is_plain_path,
+    outside,
+)
+
+MAX_DEADLINE_MS = 600_000
+
+_METHOD = re.compile(r"[A-Z][A-Z-]*")
+
+
+def check_routes(bundle: Bundle) -> Iterator[Problem]:
+    """Yield every problem of the routes of ``bundle``."""
+    if not bundle.routes:
+        yield Problem("routes", "at least one route", "none")
+    for name, route in bundle.routes.items():
+        path = f"routes.{name}"
+        if not is_name(name):
+            yield Problem(path, NAME_EXPECTED, repr(name))
+        yield from _check_route(path, route, bundle)
+    yield from _check_overlaps(bundle)
+
+
+def _check_route(path: str, route: Route, bundle: Bundle) -> Iterator[Problem]:
+    if route.service not in bundle.services:
+        expected = f"one of the services {', '.join(sorted(bundle.services))}"
+        yield Problem(f"{path}.service", expected, repr(route.service))
+    yield from outside(f"{path}.rank", route.rank, 1, MAX_RANK)
+    yield from outside(f"{path}.deadline_ms", route.deadline_ms, 1, MAX_DEADLINE_MS)
+    if route.path != "/" and not is_plain_path(route.path):
+        yield Problem(f"{path}.path", f"/ or {PATH_EXPECTED}", repr(route.path))
+    yield from _check_methods(path, route)
+
+
+def _check_methods(path: str, route: Route) -> Iterator[Problem]:
+    if not route.methods:
+        yield Problem(f"{path}.methods", "at least one method", "none")
+    for index, method in enumerate(route.methods):
+        place = f"{path}.methods[{index}]"
+        if not _METHOD.fullmatch(method):
+            yield Problem(place, "a method in capitals, such as POST", repr(method))
+        if method in route.methods[:index]:
+            yield Problem(place, "each method once", f"{method} again")
+
+
+def _check_overlaps(bundle: Bundle) -> Iterator[Problem]:
+    """Yield a problem for two routes that the same request would match."""
+    owners: dict[tuple[str, str, str], str] = {}
+    for name, route in bundle.routes.items():
+        for method in dict.fromkeys(route.methods):
+            place = (route.service, method, route.path)
+            owner = owners.setdefault(place, name)
+            if owner != name:
+                expected = f"another method or path than those of routes.{owner}"
+                found = f"{method} {route.path} of {route.service} in both"
+                yield Problem(f"routes.{name}", expected, found)
--- /dev/null
+++ b/src/jacinthshed/internal/settings/address.py
@@ -0,0 +1,38 @@
+"""Addresses in the form ``IP:PORT``."""
+
+import ipaddress
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+MAX_PORT = 65_535
+
+
+class Address(NamedTuple):
+    """An IP address, as text, and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return (
+            f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+        )
+
+
+def parse_address(text: str) -> Result[Address, str]:
+    """Return the address in ``text``: ``10.0.0.1:7000`` or ``[fd00::1]:7000``.
+
+    The failure says what was expected.
+    """
+    ip, colon, port = text.rpartition(":")
+    if not colon or not (port.isascii() and port.isdigit()) or int(port) > MAX_PORT:
+        return Failure(f"IP:PORT with a port from 0 to {MAX_PORT}")
+    bracketed = ip.startswith("[") and ip.endswith("]")
+    if ":" in ip and not bracketed:
+        return Failure("an IPv6 address in brackets, as [fd00::1]:7000")
+    try:
+        parsed = ipaddress.ip_address(ip[1:-1] if bracketed else ip)
+    except ValueError:
+        return Failure("an IP address and no host name, as 10.0.0.1:7000")
+    return Success(Address(str(parsed), int(port)))
--- /dev/null
+++ b/src/jacinthshed/internal/settings/checks.py
@@ -0,0 +1,106 @@
+"""Checks of settings that go beyond the type of each value."""
+
+import re
+from collections.abc import Iterator, Mapping
+
+from returns.result import Failure
+
+from .address import Address
+from .convert import shown
+from .keys import parse_public_key
+from .model import HttpSettings, LogSettings, NodeSettings, OperatorSettings
+from .problem import Problem
+
+NAME = re.compile(r"[a-z][a-z0-9-]{0,62}")
+NAME_EXPECTED = "a name of small letters, digits and hyphens, with a letter first"
+MAX_HEAD_BYTES = 1_048_576
+
+
+def is_name(text: str) -> bool:
+    """Return whether ``text`` may name a service, route or availability zone."""
+    return NAME.fullmatch(text) is not None
+
+
+def check_settings(settings: NodeSettings) -> Iterator[Problem]:
+    """Yield every problem of ``settings``."""
+    yield from _check_names(settings)
+    yield from _check_listeners(settings)
+    yield from _check_backend(settings)
+    yield from check_operators(settings.operators)
+    yield from _check_logs(settings.logs)
+    yield from _check_http(settings.http)
+
+
+def _check_names(settings: NodeSettings) -> Iterator[Problem]:
+    if not settings.host.strip():
+        yield Problem("host", "the host's name", shown(settings.host))
+    if not is_name(settings.availability_zone):
+        found = shown(settings.availability_zone)
+        yield Problem("availability_zone", NAME_EXPECTED, found)
+    if settings.service and not is_name(settings.service):
+        yield Problem("service", NAME_EXPECTED, shown(settings.service))
+
+
+def _check_listeners(settings: NodeSettings) -> Iterator[Problem]:
+    seen: dict[Address, str] = {}
+    for name in ("entry", "egress", "peer"):
+        address: Address = getattr(settings.listen, name)
+        if address.port and address in seen:
+            expected = f"another address than listen.{seen[address]}"
+            yield Problem(f"listen.{name}", expected, str(address))
+        seen[address] = name
+
+
+def _check_backend(settings: NodeSettings) -> Iterator[Problem]:
+    backend = settings.backend
+    if settings.service and backend is None:
+        remedy = "Add it, or leave service empty on a node without a backend server."
+        yield Problem("backend", "the backend server's address", "nothing", remedy)
+    if backend is None:
+        return
+    if not settings.service:
+        yield Problem("service", "the name of the backend server's service", "nothing")
+    if not backend.health_path.startswith("/"):
+        yield Problem("backend.health_path", "a path", shown(backend.health_path))
+    if backend.health_interval_ms < 1:
+        found = shown(backend.health_interval_ms)
+        yield Problem("backend.health_interval_ms", "at least 1", found)
+
+
+def check_operators(operators: OperatorSettings) -> Iterator[Problem]:
+    """Yield every problem of the trusted operators."""
+    yield from _check_keys(operators.keys)
+    if not 1 <= operators.threshold <= len(operators.keys):
+        expected = f"1 to {len(operators.keys)}, the number of operators.keys"
+        yield Problem("operators.threshold", expected, shown(operators.threshold))
+
+
+def _check_keys(keys: Mapping[str, str]) -> Iterator[Problem]:
+    owners: dict[bytes, str] = {}
+    for name, text in keys.items():
+        path = f"operators.keys.{name}"
+        key = parse_public_key(text)
+        if isinstance(key, Failure):
+            remedy = "Take the public key that `jacinthshed bundle keygen` printed."
+            yield Problem(path, key.failure(), shown(text), remedy)
+            continue
+        raw = key.unwrap().public_bytes_raw()
+        # One key under two names would let one operator sign for two.
+        if raw in owners:
+            yield Problem(path, "a key of its own", f"the key of {owners[raw]}")
+        owners[raw] = name
+
+
+def _check_logs(logs: LogSettings) -> Iterator[Problem]:
+    if not 0.0 <= logs.sample <= 1.0:
+        yield Problem("logs.sample", "a share from 0 to 1", shown(logs.sample))
+
+
+def _check_http(http: HttpSettings) -> Iterator[Problem]:
+    if not 1_024 <= http.head_bytes <= MAX_HEAD_BYTES:
+        expected = f"from 1024 to {MAX_HEAD_BYTES}"
+        yield Problem("http.head_bytes", expected, shown(http.head_bytes))
+    for name in ("idle_ms", "read_ms", "connections"):
+        value = getattr(http, name)
+        if value < 1:
+            yield Problem(f"http.{name}", "at least 1", shown(value))
--- /dev/null
+++ b/src/jacinthshed/internal/settings/model.py
@@ -0,0 +1,97 @@
+"""The settings file of one node.
+
+Addresses are checked and parsed on loading; see ``load_settings``.
+"""
+
+from typing import Literal
+
+import msgspec
+
+from .address import Address
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of every part of the settings: immutable, no unknown keys."""
+
+
+class ListenSettings(_Section, frozen=True, kw_only=True):
+    """The three listeners of a node; port 0 lets the system choose one."""
+
+    entry: Address
+    egress: Address
+    peer: Address
+
+
+class BackendSettings(_Section, frozen=True, kw_only=True):
+    """The backend server beside the node."""
+
+    address: Address
+    health_path: str = "/healthz"
+    health_interval_ms: int = 1_000
+
+
+class PlatformSettings(_Section, frozen=True, kw_only=True):
+    """Where the platform's configuration service is, and its two keys."""
+
+    address: Address
+    bundle_key: str = "bundle"
+    hosts_key: str = "hosts"
+
+
+class OperatorSettings(_Section, frozen=True, kw_only=True):
+    """Whose signatures a bundle needs.
+
+    ``keys`` maps an operator's name to the Ed25519 public key in base64;
+    ``threshold`` of them have to sign.
+    """
+
+    keys: dict[str, str]
+    threshold: int = 1
+
+
+class LogSettings(_Section, frozen=True, kw_only=True):
+    """Log lines; ``sample`` is the share of the lines about calls that is written."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["auto", "json", "human"] = "auto"
+    sample: float = 1.0
+
+
+class MetricSettings(_Section, frozen=True, kw_only=True):
+    """Metrics; without ``statsd`` none are sent."""
+
+    statsd: Address | None = None
+    prefix: str = "jacinthshed"
+
+
+class HttpSettings(_Section, frozen=True, kw_only=True):
+    """Bounds of the HTTP listeners.
+
+    ``head_bytes`` bounds a request's head. ``idle_ms`` is how long a connection may
+    wait between requests, ``read_ms`` how long a request may take to arrive.
+    """
+
+    head_bytes: int = 16_384
+    idle_ms: int = 30_000
+    read_ms: int = 10_000
+    connections: int = 2_000
+
+
+class NodeSettings(_Section, frozen=True, kw_only=True):
+    """All settings of one node.
+
+    ``service`` is empty on a node that has no backend server; it then only takes
+    callers' requests. ``seeds`` are peer addresses to learn the first members from.
+    """
+
+    host: str
+    availability_zone: str
+    listen: ListenSettings
+    operators: OperatorSettings
+    service: str = ""
+    backend: BackendSettings | None = None
+    platform: PlatformSettings | None = None
+    seeds: tuple[Address, ...] = ()
+    logs: LogSettings = LogSettings()
+    metrics: MetricSettings = MetricSettings()
+    http: HttpSettings = HttpSettings()
