--- a/src/jacinthshed/internal/flow/backend_outcome.py
+++ b/src/jacinthshed/internal/flow/backend_outcome.py
@@ -3,7 +3,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from ..admission.limit import Outcome
+from ..admission.outcome import Outcome
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Header
 
@@ -25,6 +25,7 @@
     """Why an exchange with the backend server brought no whole answer."""
 
     BROKEN = auto()
+    CRASHED = auto()
     TIMED_OUT = auto()
     ABORTED = auto()
 
@@ -44,6 +45,7 @@
 
 _FAILURE_OUTCOMES = {
     FailureCause.BROKEN: Outcome.FAILED,
+    FailureCause.CRASHED: Outcome.FAILED,
     FailureCause.TIMED_OUT: Outcome.TIMED_OUT,
     FailureCause.ABORTED: Outcome.CANCELLED,
 }
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -5,7 +5,7 @@
 
 from ..admission.admission import Admission
 from ..admission.decision import Decision, Start
-from ..admission.limit import Outcome
+from ..admission.outcome import Outcome
 from ..admission.work import Work
 from ..fence.memo import Answered, Dead, FenceMemo, Join, Run
 from ..quarantine.fingerprint import fingerprint
@@ -14,7 +14,14 @@
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
-from .backend_outcome import BackendAnswer, BackendResult, admission_outcome, refusal_from
+from .backend_outcome import (
+    BackendAnswer,
+    BackendFailure,
+    BackendResult,
+    FailureCause,
+    admission_outcome,
+    refusal_from,
+)
 from .context import ContextRegistry, ParentContext
 from .job import Job, Waiter
 from .replies import answer_reply, refusal_reply
@@ -288,7 +295,7 @@
         self, now_ms: float, wall_ms: int, job: Job, result: BackendResult
     ) -> Reply:
         submit = job.submit
-        refusal = refusal_from(result)
+        refusal = self._refusal_from(result, job.fingerprint)
         if refusal is None:
             assert isinstance(result, BackendAnswer)
             reply = answer_reply(
@@ -307,6 +314,15 @@
             self._memo.failed(wall_ms, submit.key)
         return refusal_reply(submit.request_id, refusal)
 
+    def _refusal_from(self, result: BackendResult, mark: int) -> Refusal | None:
+        refusal = refusal_from(result)
+        if refusal is None or not isinstance(result, BackendFailure):
+            return refusal
+        crashed = result.cause is FailureCause.CRASHED
+        if crashed and not self._suspects.may_retry(mark):
+            return refusal._replace(reason=Reason.CRASHED)
+        return refusal
+
     def _finish(self, now_ms: float, job: Job, outcome: Outcome) -> list[Decision]:
         started_at_ms = job.started_at_ms if job.started_at_ms is not None else now_ms
         nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
--- /dev/null
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -0,0 +1,162 @@
+"""Carries out what the target decides: exchanges with the backend server."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..bundle.model import SizeLimits
+from ..flow.actions import Abort, Dispatch, Send, TargetAction
+from ..flow.backend_outcome import (
+    BackendAnswer,
+    BackendFailure,
+    BackendResult,
+    FailureCause,
+)
+from ..flow.target import Target
+from ..http.client import BackendPool
+from ..http.message import Request
+from ..http.outcome import ExchangeFailed, Outcome
+from ..wire.frames import Header, Submit
+from .clock import Clock
+from .links import LinkTable
+
+CONTEXT_HEADER = b"jacinthshed-context"
+DEADLINE_HEADER = b"jacinthshed-deadline-ms"
+TIMEOUT_REASON = "timeout"
+
+
+class Dispatcher:
+    """Owns the exchanges with the backend server beside this node.
+
+    ``fence_left_ms`` gives the time until a fence expires; an exchange under a fence
+    goes on for that long even when its caller's deadline passes, as only its end can
+    tell a later copy what became of the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: Target,
+        pool: BackendPool,
+        links: LinkTable,
+        clock: Clock,
+        sizes: Callable[[], SizeLimits],
+        fence_left_ms: Callable[[str], float],
+        is_backend_up: Callable[[], Awaitable[bool]],
+    ) -> None:
+        self._target = target
+        self._pool = pool
+        self._links = links
+        self._clock = clock
+        self._sizes = sizes
+        self._fence_left_ms = fence_left_ms
+        self._is_backend_up = is_backend_up
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._expiry_changed = trio.Event()
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Run the exchanges in ``nursery`` from now on."""
+        self._nursery = nursery
+
+    def perform(self, actions: list[TargetAction]) -> None:
+        """Carry out ``actions`` without waiting for them."""
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, Dispatch):
+                assert self._nursery is not None
+                self._nursery.start_soon(self._run, action)
+            else:
+                self._abort(action)
+        self._expiry_changed.set()
+
+    async def expire_waiting(self) -> None:
+        """Refuse queued work at its deadline, for as long as the node runs."""
+        while True:
+            self._expiry_changed = trio.Event()
+            expiry_ms = self._target.next_expiry_ms()
+            if expiry_ms is None:
+                await self._expiry_changed.wait()
+                continue
+            wait_ms = max(0.0, expiry_ms - self._clock.now_ms())
+            with trio.move_on_after(wait_ms / 1_000):
+                await self._expiry_changed.wait()
+                continue
+            now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+            self.perform(self._target.expire(now_ms, wall_ms))
+
+    def _send(self, action: Send) -> None:
+        channel = self._links.get(action.link)
+        if channel is not None:
+            channel.send(action.frame)
+
+    def _abort(self, action: Abort) -> None:
+        scope = self._scopes.get(action.ticket)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run(self, dispatch: Dispatch) -> None:
+        with trio.CancelScope() as scope:
+            self._scopes[dispatch.ticket] = scope
+            outcome: Outcome = await self._exchange(dispatch)
+        del self._scopes[dispatch.ticket]
+        if scope.cancelled_caught:
+            result: BackendResult = BackendFailure(True, FailureCause.ABORTED, "")
+        else:
+            result = _result_of(outcome)
+        if _is_broken(result):
+            result = await self._tell_crash(result)
+        self._done(dispatch.ticket, result)
+
+    async def _exchange(self, dispatch: Dispatch) -> Outcome:
+        timeout_ms = dispatch.timeout_ms
+        if dispatch.submit.fence:
+            timeout_ms = max(timeout_ms, self._fence_left_ms(dispatch.submit.fence))
+        return await self._pool.request(
+            _request_of(dispatch.submit, dispatch.timeout_ms),
+            timeout_ms=timeout_ms,
+            max_body_bytes=self._sizes().answer_bytes,
+        )
+
+    def _done(self, ticket: int, result: BackendResult) -> None:
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        self.perform(self._target.backend_done(now_ms, wall_ms, ticket, result))
+
+    async def _tell_crash(self, result: BackendResult) -> BackendResult:
+        """Tell a crash of the backend server from one broken connection.
+
+        This comes before the reply, so that no node tries a request again which may
+        have crashed the server.
+        """
+        running = self._target.running_tickets()
+        if await self._is_backend_up():
+            return result
+        self._target.backend_crashed(self._clock.now_ms(), running)
+        assert isinstance(result, BackendFailure)
+        return result._replace(cause=FailureCause.CRASHED)
+
+
+def _is_broken(result: BackendResult) -> bool:
+    return (
+        isinstance(result, BackendFailure)
+        and result.sent
+        and result.cause is FailureCause.BROKEN
+    )
+
+
+def _result_of(outcome: Outcome) -> BackendResult:
+    if isinstance(outcome, ExchangeFailed):
+        timed_out = outcome.reason == TIMEOUT_REASON
+        cause = FailureCause.TIMED_OUT if timed_out else FailureCause.BROKEN
+        return BackendFailure(outcome.sent, cause, outcome.reason)
+    return BackendAnswer(outcome.status, outcome.headers, outcome.body)
+
+
+def _request_of(submit: Submit, deadline_ms: float) -> Request:
+    headers: tuple[Header, ...] = (
+        *submit.headers,
+        (CONTEXT_HEADER, submit.request_id.encode()),
+        (DEADLINE_HEADER, str(int(deadline_ms)).encode()),
+    )
+    return Request(submit.method, submit.target, headers, submit.body)
--- /dev/null
+++ b/src/jacinthshed/internal/node/driver.py
@@ -0,0 +1,129 @@
+"""Carries out the steps of a call's flow."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..flow.call import Call
+from ..flow.idempotent import CallFlow
+from ..flow.steps import (
+    AllAsked,
+    Announce,
+    AskAll,
+    AskSuccession,
+    Broken,
+    CallEnd,
+    Done,
+    Event,
+    Exchange,
+    LinkReady,
+    Pause,
+    Ready,
+    Replied,
+    Step,
+    SuccessionAnswered,
+    TakeBack,
+    TimedOut,
+)
+from ..wire.frames import Frame, Reply, Revoke, Revoked, Succeeded
+from .clock import MS_PER_S
+from .link import Channel, LinkEvent
+from .links import LinkTable
+from .one_shot import OneShot
+
+REPLY_GRACE_MS = 50.0
+ASK_TIMEOUT_MS = 500.0
+
+AnnounceFence = Callable[[str], Awaitable[None]]
+
+
+async def drive(
+    flow: CallFlow, call: Call, links: LinkTable, announce: AnnounceFence
+) -> CallEnd:
+    """Run ``flow`` to its end.
+
+    The wait for a reply goes on a little after the deadline, as a target's own
+    refusal at the deadline tells more than a timeout here.
+    """
+    deadline_s = (call.deadline_at_ms + REPLY_GRACE_MS) / MS_PER_S
+    event: Event | None = None
+    while True:
+        try:
+            step = next(flow) if event is None else flow.send(event)
+        except StopIteration as stop:
+            return stop.value
+        with trio.CancelScope(deadline=deadline_s) as scope:
+            event = await _perform(step, links, announce)
+        if scope.cancelled_caught:
+            event = TimedOut()
+
+
+async def _perform(step: Step, links: LinkTable, announce: AnnounceFence) -> Event:
+    if isinstance(step, Exchange):
+        return await _exchange(step, links)
+    if isinstance(step, Ready):
+        return await _ready(step, links)
+    if isinstance(step, Announce):
+        await announce(step.fence)
+        return Done()
+    if isinstance(step, Pause):
+        await trio.sleep(step.wait_ms / MS_PER_S)
+        return Done()
+    if isinstance(step, TakeBack):
+        channel = links.to(step.host)
+        if channel is not None:
+            channel.send(step.cancel)
+        return Done()
+    if isinstance(step, AskSuccession):
+        return await _ask_succession(step, links)
+    return await _ask_all(step, links)
+
+
+async def _ready(step: Ready, links: LinkTable) -> Event:
+    channel = await links.open(step.host)
+    if channel is None or channel.peer is None:
+        return Broken(sent=False)
+    return LinkReady(channel.peer.incarnation)
+
+
+async def _exchange(step: Exchange, links: LinkTable) -> Event:
+    channel = links.to(step.host) or await links.open(step.host)
+    if channel is None:
+        return Broken(sent=False)
+    frame = await _ask(channel, step.submit.request_id, step.submit)
+    return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
+
+
+async def _ask_succession(step: AskSuccession, links: LinkTable) -> Event:
+    with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
+        channel = await links.open(step.host)
+        if channel is not None:
+            frame = await _ask(channel, step.succeed.request_id, step.succeed)
+            return SuccessionAnswered(isinstance(frame, Succeeded) and frame.granted)
+    return SuccessionAnswered(granted=False)
+
+
+async def _ask_all(step: AskAll, links: LinkTable) -> Event:
+    answers: dict[str, Revoked | None] = {host: None for host, _ in step.asks}
+
+    async def ask(host: str, revoke: Revoke) -> None:
+        with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
+            channel = await links.open(host)
+            if channel is not None:
+                frame = await _ask(channel, revoke.request_id, revoke)
+                answers[host] = frame if isinstance(frame, Revoked) else None
+
+    async with trio.open_nursery() as nursery:
+        for host, revoke in step.asks:
+            nursery.start_soon(ask, host, revoke)
+    return AllAsked(tuple(answers.items()))
+
+
+async def _ask(channel: Channel, request_id: str, frame: Frame) -> LinkEvent:
+    exchange: OneShot[LinkEvent] = OneShot()
+    channel.exchanges[request_id] = exchange
+    try:
+        channel.send(frame)
+        return await exchange.wait()
+    finally:
+        channel.exchanges.pop(request_id, None)
--- /dev/null
+++ b/src/jacinthshed/internal/node/link.py
@@ -0,0 +1,163 @@
+"""One stream between two nodes."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from ..bundle.model import MembershipPolicy
+from ..membership.link_health import LinkHealth
+from ..wire.codec import PROTOCOL_VERSION, FrameBuffer, FrameError, encode
+from ..wire.frames import Frame, Heartbeat, Hello, Submit
+from .clock import Clock
+from .one_shot import OneShot
+
+RECEIVE_BYTES = 65_536
+MAX_OUTBOX_BYTES = 64 * 1024 * 1024
+
+LinkEvent = Frame | None
+"""What ends an exchange: a frame, or ``None`` when the link closed first."""
+
+
+class Channel(Protocol):
+    """A way to a node: a link, or the local one to this node itself."""
+
+    number: int
+    peer: Hello | None
+    exchanges: dict[str, OneShot[LinkEvent]]
+
+    def send(self, frame: Frame) -> None:
+        """Queue ``frame``; never blocks."""
+
+
+FrameHandler = Callable[["Channel", Frame], None]
+
+
+class Link:
+    """Owns one stream: its reader, its writer and the exchanges that wait on it.
+
+    Frames that are queued while the writer is busy leave together.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        stream: trio.abc.Stream,
+        clock: Clock,
+        policy: MembershipPolicy,
+        on_frame: FrameHandler,
+    ) -> None:
+        self.number = number
+        self.peer: Hello | None = None
+        self.exchanges: dict[str, OneShot[LinkEvent]] = {}
+        self.health = LinkHealth(now_ms=clock.now_ms(), policy=policy)
+        self.closed = False
+        self._stream = stream
+        self._clock = clock
+        self._on_frame = on_frame
+        self._outbox: list[bytes] = []
+        self._outbox_bytes = 0
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self._heartbeat = 0
+        self._opened_ms = clock.now_ms()
+        self._hello_within_ms = policy.silent_after_ms
+
+    def send(self, frame: Frame) -> None:
+        """Queue ``frame``; a peer that reads nothing has its link closed."""
+        if self.closed:
+            return
+        data = encode(frame)
+        self._outbox.append(data)
+        self._outbox_bytes += len(data)
+        if isinstance(frame, Submit):
+            self.health.sent(self._clock.now_ms())
+        if self._outbox_bytes > MAX_OUTBOX_BYTES:
+            self.close()
+        self._wake.set()
+
+    def close(self) -> None:
+        """End the link; its exchanges end without a frame."""
+        self.closed = True
+        self._scope.cancel()
+
+    def tick(self, now_ms: float) -> None:
+        """Send a heartbeat when one is due; close the link when it is silent."""
+        mute = self.peer is None and now_ms - self._opened_ms > self._hello_within_ms
+        if mute or self.health.is_silent(now_ms):
+            self.close()
+        elif self.health.due_heartbeat(now_ms):
+            self._heartbeat += 1
+            self.send(Heartbeat(self._heartbeat, echo=True))
+            self.health.heartbeat_sent(now_ms)
+
+    async def run(self, hello: Hello, opened: OneShot[Hello | None]) -> None:
+        """Move frames until the stream ends; ``opened`` hears the peer's hello."""
+        try:
+            with self._scope:
+                async with self._stream, trio.open_nursery() as nursery:
+                    self.send(hello)
+                    nursery.start_soon(self._write)
+                    await self._read(opened)
+                    nursery.cancel_scope.cancel()
+        finally:
+            self.closed = True
+            opened.set(None)
+            self._end_exchanges()
+
+    async def flushed(self) -> None:
+        """Wait until nothing is queued."""
+        while self._outbox and not self.closed:
+            await trio.sleep(0.01)
+
+    async def _read(self, opened: OneShot[Hello | None]) -> None:
+        buffer = FrameBuffer()
+        try:
+            while data := await self._stream.receive_some(RECEIVE_BYTES):
+                self.health.received(self._clock.now_ms())
+                for frame in buffer.feed(data):
+                    self._take(frame, opened)
+        except (FrameError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    def _take(self, frame: Frame, opened: OneShot[Hello | None]) -> None:
+        if self.peer is None:
+            if not isinstance(frame, Hello) or frame.protocol != PROTOCOL_VERSION:
+                raise FrameError("the peer speaks another protocol; its link is closed")
+            self.peer = frame
+            self._on_frame(self, frame)
+            opened.set(frame)
+        elif isinstance(frame, Heartbeat):
+            if frame.echo:
+                self.send(Heartbeat(frame.sequence, echo=False))
+        else:
+            self._on_frame(self, frame)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake = trio.Event()
+                data = b"".join(self._outbox)
+                self._outbox.clear()
+                self._outbox_bytes = 0
+                await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._scope.cancel()
+
+    def _end_exchanges(self) -> None:
+        for exchange in self.exchanges.values():
+            exchange.set(None)
+        self.exchanges.clear()
+
+
+def finish_exchange(channel: Channel, request_id: str, frame: Frame) -> bool:
+    """Hand ``frame`` to the exchange that waits for it; false when none does."""
+    exchange = channel.exchanges.pop(request_id, None)
+    if exchange is None:
+        return False
+    if isinstance(channel, Link):
+        channel.health.ended()
+    exchange.set(frame)
+    return True
--- /dev/null
+++ b/src/jacinthshed/internal/node/links.py
@@ -0,0 +1,164 @@
+"""The links of one node, by number and by the host at their other end."""
+
+import itertools
+from collections.abc import Callable, Iterator
+
+import trio
+
+from ..bundle.model import MembershipPolicy
+from ..http.network import Connect
+from ..wire.frames import Hello
+from .clock import Clock
+from .link import Channel, FrameHandler, Link
+from .local_link import LocalLink
+from .one_shot import OneShot
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class LinkTable:
+    """Opens links on demand and keeps track of those that peers opened.
+
+    ``address_of`` gives the peer address of a host, or ``None``. ``on_closed`` hears
+    the number of each link that ended, ``on_failed`` and ``on_reached`` the host
+    whose link could not be opened or was.
+    """
+
+    def __init__(
+        self,
+        *,
+        connect: Connect,
+        clock: Clock,
+        policy: Callable[[], MembershipPolicy],
+        hello: Callable[[], Hello],
+        address_of: Callable[[str], str | None],
+        on_frame: FrameHandler,
+        on_closed: Callable[[int], None],
+        on_failed: Callable[[str], None],
+        on_reached: Callable[[str], None],
+    ) -> None:
+        self._connect = connect
+        self._clock = clock
+        self._policy = policy
+        self._hello = hello
+        self._address_of = address_of
+        self._on_frame = on_frame
+        self._on_closed = on_closed
+        self._on_failed = on_failed
+        self._on_reached = on_reached
+        self._numbers = itertools.count(1)
+        self._by_number: dict[int, Channel] = {}
+        self._by_host: dict[str, Channel] = {}
+        self._opening: dict[str, OneShot[Channel | bool]] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Run the links' tasks in ``nursery`` from now on."""
+        self._nursery = nursery
+
+    def add_local(self, local: LocalLink, host: str) -> None:
+        """Use ``local`` for this node's own host."""
+        self._by_number[local.number] = local
+        self._by_host[host] = local
+
+    def get(self, number: int) -> Channel | None:
+        """Return the open link of that number."""
+        return self._by_number.get(number)
+
+    def to(self, host: str) -> Channel | None:
+        """Return the open link to ``host``, if there is one."""
+        return self._by_host.get(host)
+
+    def streams(self) -> Iterator[Link]:
+        """Yield each link that has a stream."""
+        for channel in list(self._by_number.values()):
+            if isinstance(channel, Link):
+                yield channel
+
+    async def open(self, host: str) -> Channel | None:
+        """Return a link to ``host``, opening one where there is none."""
+        channel = self._by_host.get(host)
+        if channel is not None:
+            return channel
+        opening = self._opening.get(host)
+        if opening is None:
+            opening = self._begin(host)
+        result = await opening.wait()
+        return None if isinstance(result, bool) else result
+
+    async def open_address(self, address: str) -> Channel | None:
+        """Return a link to whichever host is at ``address``."""
+        link: Link | None = None
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            link = await self._dial(address)
+            if link is None:
+                return None
+            opened: OneShot[Hello | None] = OneShot()
+            assert self._nursery is not None
+            self._nursery.start_soon(self._run, link, opened)
+            return link if await opened.wait() is not None else None
+        if link is not None:
+            link.close()
+        return None
+
+    async def accept(self, stream: trio.abc.Stream) -> None:
+        """Run a link that a peer opened."""
+        await self._run(self._new_link(stream), OneShot())
+
+    def _begin(self, host: str) -> OneShot[Channel | bool]:
+        opening: OneShot[Channel | bool] = OneShot()
+        self._opening[host] = opening
+        assert self._nursery is not None
+        self._nursery.start_soon(self._open, host, opening)
+        return opening
+
+    async def _open(self, host: str, opening: OneShot[Channel | bool]) -> None:
+        try:
+            channel = await self._open_to_host(host)
+        finally:
+            self._opening.pop(host, None)
+            opening.set(False)
+        if channel is None:
+            self._on_failed(host)
+
+    async def _open_to_host(self, host: str) -> Channel | None:
+        address = self._address_of(host)
+        if address is None:
+            return None
+        opening = self._opening[host]
+        channel = await self.open_address(address)
+        # An address may have passed to another host since the view was updated.
+        if channel is None or channel.peer is None or channel.peer.host != host:
+            return None
+        self._by_host.setdefault(host, channel)
+        opening.set(channel)
+        self._on_reached(host)
+        return channel
+
+    async def _dial(self, address: str) -> Link | None:
+        try:
+            return self._new_link(await self._connect(address))
+        except (OSError, trio.BrokenResourceError):
+            return None
+
+    def _new_link(self, stream: trio.abc.Stream) -> Link:
+        return Link(
+            number=next(self._numbers),
+            stream=stream,
+            clock=self._clock,
+            policy=self._policy(),
+            on_frame=self._on_frame,
+        )
+
+    async def _run(self, link: Link, opened: OneShot[Hello | None]) -> None:
+        self._by_number[link.number] = link
+        try:
+            await link.run(self._hello(), opened)
+        finally:
+            self._remove(link)
+
+    def _remove(self, link: Link) -> None:
+        self._by_number.pop(link.number, None)
+        if link.peer is not None and self._by_host.get(link.peer.host) is link:
+            del self._by_host[link.peer.host]
+        self._on_closed(link.number)
--- a/src/jacinthshed/internal/verdict.py
+++ b/src/jacinthshed/internal/verdict.py
@@ -36,6 +36,7 @@
     NO_TARGET = "no-target"
     UNREACHABLE = "unreachable"
     BACKEND_FAILED = "backend-failed"
+    CRASHED = "crashed"
 
 
 HTTP_STATUS: dict[Reason, int] = {
@@ -56,6 +57,7 @@
     Reason.NO_TARGET: 503,
     Reason.UNREACHABLE: 503,
     Reason.BACKEND_FAILED: 502,
+    Reason.CRASHED: 502,
 }
 
 
