--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable, Callable
 
 import h11
-import structlog
 import trio
 
+from ..telemetry.log import get_logger
 from ..verdict import Reason, Refusal, Verdict
 from .drain import Drain
 from .errors import BadRequestError
@@ -23,7 +23,7 @@
 _LINGER_BYTES = 1_048_576
 _NO_BODY_STATUSES = (204, 304)
 
-log = structlog.get_logger(__name__)
+log = get_logger(__name__)
 
 
 async def serve_connection(
--- /dev/null
+++ b/src/jacinthshed/internal/telemetry/log.py
@@ -0,0 +1,116 @@
+"""Structured logs: JSON for programs, aligned text on a terminal."""
+
+import logging
+import sys
+import time
+from typing import Any, Literal, TextIO
+
+import structlog
+
+from .sampling import is_sampled
+from .sink import Entry, LogSink, Renderer
+
+Level = Literal["debug", "info", "warning", "error"]
+
+_LEVELS: dict[str, int] = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class _State:
+    """What ``configure_logging`` has set."""
+
+    def __init__(self) -> None:
+        self.sink = LogSink(stream=sys.stderr, render=_json_renderer())
+        self.level = logging.INFO
+        self.decision_share = 1.0
+
+
+def configure_logging(
+    *,
+    level: Level = "info",
+    decision_share: float = 1.0,
+    stream: TextIO | None = None,
+    as_json: bool | None = None,
+) -> LogSink:
+    """Set up logging for this process and return the sink to ``run``.
+
+    ``decision_share`` is the share of requests whose decisions are logged. Logs go to
+    the standard error by default, as JSON unless that is a terminal.
+    """
+    stream = sys.stderr if stream is None else stream
+    if as_json is None:
+        as_json = not stream.isatty()
+    render = _json_renderer() if as_json else _text_renderer()
+    _state.sink = LogSink(stream=stream, render=render)
+    _state.level = _LEVELS[level]
+    _state.decision_share = decision_share
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.format_exc_info,
+            _add_time,
+            _hand_to_sink,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(_state.level),
+        cache_logger_on_first_use=False,
+    )
+    return _state.sink
+
+
+def get_logger(name: str) -> structlog.typing.FilteringBoundLogger:
+    """Return a logger whose entries carry ``name``."""
+    logger: structlog.typing.FilteringBoundLogger = structlog.get_logger(component=name)
+    return logger
+
+
+def decision(event: str, **fields: Any) -> None:
+    """Log one decision: what was chosen, among what, and why.
+
+    A decision about a request carries its ``request_id`` and is subject to sampling;
+    any other is always logged. The cost on the caller's path is one queue entry.
+    """
+    if _state.level > logging.INFO:
+        return
+    request_id = fields.get("request_id")
+    if request_id is not None and not is_sampled(request_id, _state.decision_share):
+        return
+    fields["event"] = event
+    fields["level"] = "info"
+    fields["time_s"] = time.time()
+    _state.sink.put(fields)
+
+
+def _add_time(
+    logger: Any, method: str, entry: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    entry["time_s"] = time.time()
+    return entry
+
+
+def _hand_to_sink(logger: Any, method: str, entry: structlog.typing.EventDict) -> str:
+    _state.sink.put(entry)
+    raise structlog.DropEvent
+
+
+def _json_renderer() -> Renderer:
+    render = structlog.processors.JSONRenderer(default=str)
+    return lambda entry: str(render(None, "", dict(entry)))
+
+
+def _text_renderer() -> Renderer:
+    render = structlog.dev.ConsoleRenderer(timestamp_key="time_s")
+
+    def rendered(entry: Entry) -> str:
+        fields = dict(entry)
+        clock = time.localtime(fields.get("time_s", 0.0))
+        fields["time_s"] = time.strftime("%H:%M:%S", clock)
+        return str(render(None, "", fields))
+
+    return rendered
+
+
+_state = _State()
--- /dev/null
+++ b/src/jacinthshed/internal/telemetry/metrics.py
@@ -0,0 +1,92 @@
+"""Counters, timers and gauges, sent to statsd in batches."""
+
+from collections import Counter
+from typing import Protocol
+
+import statsd
+import trio
+
+FLUSH_INTERVAL_S = 1.0
+MAX_TIMINGS = 256
+MAX_PACKET_BYTES = 1_400
+
+
+class Pipeline(Protocol):
+    """The part of a statsd pipeline that is used here."""
+
+    def incr(self, stat: str, count: int) -> None:
+        """Add to a counter."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Add a time in milliseconds."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Set a gauge."""
+
+    def send(self) -> None:
+        """Send all at once."""
+
+
+class Metrics:
+    """Figures since the last flush.
+
+    Each method costs one dictionary update. Of one timer, the last ``MAX_TIMINGS``
+    values of each second are sent.
+    """
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._timings: dict[str, list[float]] = {}
+        self._timed: Counter[str] = Counter()
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Add ``count`` to the counter ``name``."""
+        self._counts[name] += count
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set the gauge ``name``."""
+        self._gauges[name] = value
+
+    def timing(self, name: str, elapsed_ms: float) -> None:
+        """Add a time in milliseconds to the timer ``name``."""
+        values = self._timings.setdefault(name, [])
+        if len(values) < MAX_TIMINGS:
+            values.append(elapsed_ms)
+        else:
+            values[self._timed[name] % MAX_TIMINGS] = elapsed_ms
+        self._timed[name] += 1
+
+    def flush(self, pipeline: Pipeline) -> None:
+        """Send everything through ``pipeline`` and start anew; gauges stay."""
+        for name, count in self._counts.items():
+            pipeline.incr(name, count)
+        for name, value in self._gauges.items():
+            pipeline.gauge(name, value)
+        for name, values in self._timings.items():
+            for elapsed_ms in values:
+                pipeline.timing(name, elapsed_ms)
+        self._counts.clear()
+        self._timings.clear()
+        self._timed.clear()
+        pipeline.send()
+
+
+async def send_metrics(
+    metrics: Metrics, *, host: str, port: int, prefix: str = "jacinthshed"
+) -> None:
+    """Send ``metrics`` to statsd over UDP each second, until cancelled."""
+    client = statsd.StatsClient(
+        host=host,
+        port=port,
+        prefix=prefix,
+        maxudpsize=MAX_PACKET_BYTES,
+        ipv6=":" in host,
+    )
+    try:
+        while True:
+            await trio.sleep(FLUSH_INTERVAL_S)
+            metrics.flush(client.pipeline())
+    finally:
+        metrics.flush(client.pipeline())
+        client.close()
