--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -49,6 +49,16 @@
             408, f"send the whole request within {self._limits.read_ms} ms"
         )
 
+    async def wait_for_disconnect(self) -> None:
+        """Return when the client closes; keep what it sends until then.
+
+        A client that sends more than one head ahead is not read any further.
+        """
+        while len(self._received) <= self._limits.head_bytes:
+            if not await self._receive():
+                return
+        await trio.sleep_forever()
+
     async def _wait_for_start(self, scope: trio.CancelScope) -> bool:
         if self._received:
             return True
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -32,13 +32,17 @@
     *,
     limits: HttpLimits,
     drain: Drain,
+    cancel_on_disconnect: bool = False,
 ) -> None:
     """Answer the requests of ``stream`` until it ends; then close it.
 
     ``handler`` sees whole and well-formed requests only. Anything else is answered
-    with a 4xx status and a closed connection.
+    with a 4xx status and a closed connection. ``cancel_on_disconnect`` cancels the
+    handler when the client closes, at the price of one more task a request.
     """
     reader = RequestReader(stream=stream, limits=limits, drain=drain)
+    if cancel_on_disconnect:
+        handler = _cancelled_on_disconnect(handler, reader)
     try:
         async with stream:
             while await _serve_one(stream, reader, handler, limits, drain):
@@ -97,6 +101,25 @@
         return refusal_response(refusal, status=500)
 
 
+def _cancelled_on_disconnect(
+    handler: RequestHandler, reader: RequestReader
+) -> RequestHandler:
+    async def handle(request: Request, informational: Informational) -> Response:
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                await reader.wait_for_disconnect()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            response = await handler(request, informational)
+            nursery.cancel_scope.cancel()
+            return response
+        raise trio.ClosedResourceError("the client closed its connection")
+
+    return handle
+
+
 def _encode(incoming: IncomingRequest, response: Response, last: bool) -> bytes:
     method = incoming.request.method
     headers = list(response.headers)
--- /dev/null
+++ b/src/jacinthshed/internal/standin/backend_state.py
@@ -0,0 +1,78 @@
+"""State of a stand-in backend server."""
+
+from collections import Counter, deque
+from enum import StrEnum
+from typing import NamedTuple
+
+import trio
+
+from .backend_options import BackendOptions
+
+
+class ShedAnswer(StrEnum):
+    """How the server refuses work that it has no room for."""
+
+    BARE = "bare"
+    NOT_RUN = "not-run"
+
+
+class Health(NamedTuple):
+    """What the health endpoint showed at one time."""
+
+    at_s: float
+    load: float
+    state: str
+
+
+class BackendState:
+    """Work in hand, what has been started, and the switches.
+
+    ``multiplier`` scales the service time. ``starts`` counts how often work began for
+    each idempotency key.
+    """
+
+    def __init__(self, *, options: BackendOptions) -> None:
+        self.options = options
+        self.multiplier = 1.0
+        self.shed_answer = ShedAnswer.NOT_RUN
+        self.draining = False
+        self.in_hand = 0
+        self.finished = 0
+        self.shed = 0
+        self.cancelled = 0
+        self.starts: Counter[str] = Counter()
+        self.free = trio.Semaphore(options.slots)
+        self._started_s = trio.current_time()
+        self._health: deque[Health] = deque([Health(self._started_s, 0.0, "live")])
+
+    @property
+    def is_full(self) -> bool:
+        """Whether neither a slot nor a place in the queue is free."""
+        return self.in_hand >= self.options.slots + self.options.queue
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the server still runs slowly after its start."""
+        age_s = trio.current_time() - self._started_s
+        return age_s * 1_000 < self.options.cold_ms
+
+    def service_ms(self, uniform: float) -> float:
+        """Return the time of one request; ``uniform`` is random in [0, 1)."""
+        options = self.options
+        varied = options.service_ms * (1 + options.spread * (2 * uniform - 1))
+        cold = options.cold_factor if self.is_cold else 1.0
+        return varied * self.multiplier * cold
+
+    def note_health(self) -> None:
+        """Remember the present load, to be shown later."""
+        now_s = trio.current_time()
+        state = "draining" if self.draining else "live"
+        self._health.append(Health(now_s, self.in_hand / self.options.slots, state))
+        shown_s = now_s - self.options.health_lag_ms / 1_000
+        while len(self._health) > 1 and self._health[1].at_s <= shown_s:
+            self._health.popleft()
+
+    def shown_health(self) -> Health:
+        """Return the health as it was ``health_lag_ms`` ago."""
+        self.note_health()
+        return self._health[0]
--- /dev/null
+++ b/src/jacinthshed/internal/standin/program.py
@@ -0,0 +1,28 @@
+"""What the stand-in programs share."""
+
+import signal
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+Serve = Callable[[trio.TaskStatus[str]], Awaitable[None]]
+
+
+async def run_until_signal(name: str, serve: Serve) -> None:
+    """Run ``serve`` until SIGTERM or SIGINT.
+
+    Prints ``{"name": ..., "address": ...}`` once the address is bound.
+    """
+
+    async def serving(*, task_status: trio.TaskStatus[str]) -> None:
+        await serve(task_status)
+
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            address = await nursery.start(serving)
+            line = msgspec.json.encode({"name": name, "address": address})
+            print(line.decode(), flush=True)
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+                return
