--- /dev/null
+++ b/src/jacinthshed/internal/membership/departures.py
@@ -0,0 +1,56 @@
+"""Remembers which incarnations have left."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from ..wire.frames import MemberRecord
+
+DEPARTURE_LIFETIME_MS = 3_600_000.0
+MAX_DEPARTURES = 4_096
+
+
+class Departure(NamedTuple):
+    """An incarnation that takes no new work.
+
+    ``at_ms`` is when this node learned of it, on its monotonic clock.
+    """
+
+    record: MemberRecord
+    at_ms: float
+
+
+class Departures:
+    """Departed incarnations, oldest first, bounded in number and age."""
+
+    def __init__(self) -> None:
+        self._entries: OrderedDict[tuple[str, int], Departure] = OrderedDict()
+
+    def add(self, now_ms: float, record: MemberRecord) -> None:
+        """Remember ``record``; the first time that is known for it is kept."""
+        key = (record.host, record.incarnation)
+        known = self._entries.get(key)
+        if known is not None:
+            self._entries[key] = Departure(record, known.at_ms)
+            return
+        self._entries[key] = Departure(record, now_ms)
+        if len(self._entries) > MAX_DEPARTURES:
+            self._entries.popitem(last=False)
+
+    def within(
+        self, service: str, within_ms: float, now_ms: float
+    ) -> tuple[MemberRecord, ...]:
+        """Return the records of a service that departed in the last ``within_ms``."""
+        since_ms = now_ms - within_ms
+        return tuple(
+            departure.record
+            for departure in self._entries.values()
+            if departure.at_ms >= since_ms and departure.record.service == service
+        )
+
+    def expire(self, now_ms: float) -> None:
+        """Forget what is older than ``DEPARTURE_LIFETIME_MS``."""
+        while self._entries:
+            departure = next(iter(self._entries.values()))
+            if departure.at_ms + DEPARTURE_LIFETIME_MS > now_ms:
+                return
+            self._entries.popitem(last=False)
--- /dev/null
+++ b/src/jacinthshed/internal/membership/view.py
@@ -0,0 +1,271 @@
+"""One node's view of all members."""
+
+from collections.abc import Iterable, Sequence
+from itertools import islice
+
+from ..wire.frames import Leaving, MemberRecord
+from .departures import Departures
+from .host_list import HostList, HostListNews, ListedHost
+from .record_order import GONE, LEAVING, LIVE, is_well_formed, order_key, record_hash
+from .service_index import ServiceIndex, Zones
+
+GONE_LIFETIME_MS = 86_400_000.0
+MAX_GONE = 4_096
+
+
+class View:
+    """The highest record known of each host.
+
+    Merging takes the maximum in a total order for each host, so it is commutative,
+    associative and idempotent: views that heard the same records are equal, in
+    whatever order and however often they heard them.
+    """
+
+    def __init__(self, *, self_record: MemberRecord) -> None:
+        self._self = self_record
+        self._outranked_by: MemberRecord | None = None
+        # Ordered from the least to the most recently changed record.
+        self._records: dict[str, MemberRecord] = {}
+        self._gone_at_ms: dict[str, float] = {}
+        self._host_list = HostList()
+        self._index = ServiceIndex()
+        self._departures = Departures()
+        self._digest = 0
+        self.changed_ms = float("-inf")
+        self.version = 0
+        self._hosts: tuple[str, ...] = ()
+        self._hosts_version = 0
+        self._put(0.0, self_record)
+
+    @property
+    def self_record(self) -> MemberRecord:
+        """The record of this node."""
+        return self._self
+
+    @property
+    def digest(self) -> int:
+        """A hash of all live and leaving records.
+
+        Records of hosts that are gone don't count: each node forgets them in its own
+        time, and views that differ only in them route alike.
+        """
+        return self._digest
+
+    @property
+    def outranked_by(self) -> MemberRecord | None:
+        """A record about this host which this incarnation can't outrank, if any.
+
+        It is set when others were told that this incarnation has left, or when they
+        know a higher one. While this node still serves, its owner has to call
+        ``renew`` with an incarnation above the one shown here.
+        """
+        return self._outranked_by
+
+    def get(self, host: str) -> MemberRecord | None:
+        """Return the record of ``host``, in whatever state."""
+        return self._records.get(host)
+
+    def is_routable(self, host: str) -> bool:
+        """Return whether ``host`` may be given new work."""
+        record = self._records.get(host)
+        return record is not None and record.state == LIVE
+
+    def members(self, service: str) -> tuple[MemberRecord, ...]:
+        """Return the members of ``service`` that take new work, ordered by host."""
+        return self._index.members(service)
+
+    def by_zone(self, service: str) -> Zones:
+        """Return the members of ``service`` by availability zone."""
+        return self._index.by_zone(service)
+
+    def services(self) -> tuple[str, ...]:
+        """Return the names of services that have members."""
+        return self._index.services()
+
+    def departed(
+        self, service: str, within_ms: float, now_ms: float
+    ) -> tuple[MemberRecord, ...]:
+        """Return incarnations that stopped taking work in the last ``within_ms``.
+
+        They may have run a key that is still resent. Leaving ones can still be asked.
+        """
+        return self._departures.within(service, within_ms, now_ms)
+
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts that are live or leaving, but for this node's own."""
+        if self._hosts_version != self.version:
+            self._hosts_version = self.version
+            self._hosts = tuple(
+                record.host
+                for record in self._records.values()
+                if record.state != GONE and record.host != self._self.host
+            )
+        return self._hosts
+
+    def records(self) -> tuple[MemberRecord, ...]:
+        """Return all records, the least recently changed first."""
+        return tuple(self._records.values())
+
+    def recent(self, count: int) -> tuple[MemberRecord, ...]:
+        """Return the ``count`` records that changed last."""
+        return tuple(islice(reversed(self._records.values()), count))
+
+    def contacts(self) -> tuple[ListedHost, ...]:
+        """Return listed hosts of which no record is known."""
+        return self._host_list.unknown(self._records)
+
+    def merge(
+        self, now_ms: float, records: Iterable[MemberRecord]
+    ) -> list[MemberRecord]:
+        """Take in ``records`` and return those that changed something.
+
+        An answer to a record about this node itself is among them.
+        """
+        changed = []
+        for record in records:
+            if not is_well_formed(record) or not self._is_news(record):
+                continue
+            self._put(now_ms, record)
+            changed.append(record)
+            if record.host == self._self.host:
+                changed.extend(self._answer(now_ms, record))
+        return changed
+
+    def heard_leaving(self, now_ms: float, notice: Leaving) -> list[MemberRecord]:
+        """Take in another host's own word that it takes no new work.
+
+        A notice about this node is a hint from the platform's list; ``should_leave``
+        tells whether to follow it.
+        """
+        if notice.host == self._self.host:
+            return []
+        known = self._records.get(notice.host)
+        if known is None:
+            known = MemberRecord(
+                notice.host, notice.incarnation, LIVE, 0, "", "", "", 0
+            )
+        if known.incarnation == notice.incarnation and known.state != LIVE:
+            return []
+        record = known._replace(incarnation=notice.incarnation, state=LEAVING)
+        return self.merge(now_ms, [record])
+
+    def leave(self, now_ms: float) -> MemberRecord:
+        """Mark this node as leaving and return its record."""
+        return self._announce(now_ms, LEAVING)
+
+    def exit(self, now_ms: float) -> MemberRecord:
+        """Mark this node as gone, as the last thing it says."""
+        return self._announce(now_ms, GONE)
+
+    def renew(self, now_ms: float, incarnation: int) -> MemberRecord:
+        """Go on under a higher incarnation and return the record to spread.
+
+        Raises ``ValueError`` when ``incarnation`` is not above the one known.
+        """
+        known = self._records[self._self.host]
+        if incarnation <= known.incarnation:
+            raise ValueError(
+                f"incarnation {incarnation} does not outrank {known.incarnation}; "
+                f"pass at least {known.incarnation + 1}"
+            )
+        self._self = self._self._replace(
+            incarnation=incarnation, state=LIVE, revision=0
+        )
+        self._outranked_by = None
+        self._put(now_ms, self._self)
+        return self._self
+
+    def declare_gone(self, now_ms: float, host: str) -> list[MemberRecord]:
+        """Mark ``host`` as gone on evidence that the caller has judged."""
+        known = self._records.get(host)
+        if known is None or host == self._self.host:
+            return []
+        return self.merge(now_ms, [known._replace(state=GONE)])
+
+    def apply_host_list(
+        self, now_ms: float, hosts: Sequence[ListedHost]
+    ) -> HostListNews:
+        """Take the platform's list as a hint and return what follows from it.
+
+        A host that the list shows as leaving is avoided while enough others of its
+        service are there, until the list shows it as live or a higher incarnation of
+        it is known. Hosts that the list lacks stay members.
+        """
+        self._host_list.update(hosts, self._records.get)
+        self._follow_hints()
+        own_host = self._self.host
+        hints = self._host_list.hints(self._records.get)
+        notices = tuple(hint for hint in hints if hint.host != own_host)
+        own_leaving = self._host_list.shows_leaving(own_host)
+        return HostListNews(self.contacts(), notices, own_leaving)
+
+    def is_delisted(self, host: str) -> bool:
+        """Return whether the platform's list has lost ``host``."""
+        return self._host_list.has_lost(host)
+
+    def expire(self, now_ms: float) -> None:
+        """Forget records of hosts that have been gone for ``GONE_LIFETIME_MS``."""
+        self._departures.expire(now_ms)
+        for host, at_ms in list(self._gone_at_ms.items()):
+            is_old = at_ms + GONE_LIFETIME_MS <= now_ms
+            if not is_old and len(self._gone_at_ms) <= MAX_GONE:
+                return
+            if host != self._self.host:
+                del self._records[host]
+            del self._gone_at_ms[host]
+
+    def _is_news(self, record: MemberRecord) -> bool:
+        known = self._records.get(record.host)
+        return known is None or order_key(record) > order_key(known)
+
+    def _announce(self, now_ms: float, state: str) -> MemberRecord:
+        if self._self.state != state:
+            self._self = self._self._replace(
+                state=state, revision=self._self.revision + 1
+            )
+            if self._is_news(self._self):
+                self._put(now_ms, self._self)
+        return self._self
+
+    def _answer(self, now_ms: float, record: MemberRecord) -> list[MemberRecord]:
+        """Correct a record about this node, where the order allows it."""
+        if (record.incarnation, record.state) != (
+            self._self.incarnation,
+            self._self.state,
+        ):
+            self._outranked_by = record
+            return []
+        self._self = self._self._replace(revision=record.revision + 1)
+        self._put(now_ms, self._self)
+        return [self._self]
+
+    def _put(self, now_ms: float, record: MemberRecord) -> None:
+        old = self._records.pop(record.host, None)
+        if old is not None:
+            self._take_out(now_ms, old, record)
+        self._records[record.host] = record
+        if record.state != GONE:
+            self._digest ^= record_hash(record)
+        if record.state == LIVE:
+            self._index.add(record)
+        else:
+            self._departures.add(now_ms, record)
+        if record.state == GONE:
+            self._gone_at_ms[record.host] = now_ms
+        if self._host_list.is_hinted(record.host):
+            self._follow_hints()
+        self.changed_ms = now_ms
+        self.version += 1
+
+    def _take_out(self, now_ms: float, old: MemberRecord, new: MemberRecord) -> None:
+        self._gone_at_ms.pop(old.host, None)
+        if old.state != GONE:
+            self._digest ^= record_hash(old)
+        if old.state == LIVE:
+            self._index.remove(old)
+        if old.incarnation != new.incarnation:
+            self._departures.add(now_ms, old)
+
+    def _follow_hints(self) -> None:
+        hints = self._host_list.hints(self._records.get)
+        self._index.avoid({hint.host for hint in hints})
