--- /dev/null
+++ b/src/jacinthshed/internal/flow/choose.py
@@ -0,0 +1,30 @@
+"""Choice of the flow for a call."""
+
+from ..fence.path import FreshKey, NewKey, OwnFence, Unfenced
+from ..verdict import Refusal, Verdict
+from .fenced import run_bare, run_new, run_with_fence
+from .idempotent import CallFlow, run_idempotent
+from .intake import Intake
+from .steps import CallEnd
+from .tools import CallTools
+
+
+def choose_flow(intake: Intake, tools: CallTools) -> CallFlow:
+    """Return the flow that the request's route and headers ask for."""
+    call, path = intake
+    if isinstance(path, OwnFence):
+        # A held fence is never refused here: only its target knows what became of it.
+        return run_with_fence(call, tools, path.fence, path.token)
+    refusal = tools.refuse(call)
+    if isinstance(path, Unfenced):
+        return _end(refusal) if refusal else run_idempotent(call, tools)
+    if isinstance(path, FreshKey | NewKey):
+        return _end(refusal) if refusal else run_new(call, tools)
+    if refusal:
+        return _end(refusal._replace(verdict=Verdict.MAY_HAVE_RUN))
+    return run_bare(call, tools)
+
+
+def _end(refusal: Refusal) -> CallFlow:
+    return CallEnd(None, refusal)
+    yield  # Makes this function a flow, one without a step.
--- a/src/jacinthshed/internal/flow/context.py
+++ b/src/jacinthshed/internal/flow/context.py
@@ -29,6 +29,7 @@
         self._parents: dict[str, ParentContext] = {}
         self._calls_done: dict[str, int] = {}
         self._fences: dict[str, dict[str, str]] = {}
+        self._shared: dict[str, set[str]] = {}
         self._call_numbers: dict[str, int] = {}
 
     def open(self, parent: ParentContext) -> None:
@@ -55,9 +56,19 @@
         self._call_numbers[request_id] = number
         return number
 
-    def fence_of(self, request_id: str, key: str) -> str:
-        """Return the fence that the parent's call with this key holds, or ``""``."""
-        return self._fences.get(request_id, {}).get(key, "")
+    def take_fence(self, request_id: str, key: str) -> str:
+        """Return the fence that the parent's call with this key holds, or ``""``.
+
+        Two copies of the call hold it from then on.
+        """
+        fence = self._fences.get(request_id, {}).get(key, "")
+        if fence:
+            self._shared.setdefault(request_id, set()).add(key)
+        return fence
+
+    def is_shared(self, request_id: str, key: str) -> bool:
+        """Return whether more than one copy of a nested call holds its fence."""
+        return key in self._shared.get(request_id, ())
 
     def keep_fence(self, request_id: str, key: str, fence: str) -> None:
         """Hold a nested call's fence for as long as its parent runs."""
@@ -68,6 +79,7 @@
         """Forget the request; return how many calls below it were answered."""
         self._parents.pop(request_id, None)
         self._fences.pop(request_id, None)
+        self._shared.pop(request_id, None)
         self._call_numbers.pop(request_id, None)
         return self._calls_done.pop(request_id, 0)
 
--- a/src/jacinthshed/internal/flow/fenced.py
+++ b/src/jacinthshed/internal/flow/fenced.py
@@ -8,9 +8,15 @@
 from collections.abc import Generator, Iterator
 
 from ..fence.fence import Fence, decode_fence, encode_fence
-from ..fence.revocation import Found, MayHaveRun, ProvenNotRun, Revocation, Superseded
+from ..fence.revocation import (
+    Found,
+    MayHaveRun,
+    ProvenNotRun,
+    Revocation,
+    Superseded,
+)
+from ..fence.revocation import Outcome as RevocationOutcome
 from ..verdict import Reason, Refusal, Verdict
-from ..wire.frames import Succeed
 from .call import Attempt, Call
 from .idempotent import CallFlow
 from .replies import is_whole, refusal_of
@@ -19,8 +25,6 @@
     AllAsked,
     Announce,
     AskAll,
-    AskSuccession,
-    Broken,
     CallEnd,
     Event,
     Exchange,
@@ -29,32 +33,37 @@
     Ready,
     Replied,
     Step,
-    SuccessionAnswered,
     TimedOut,
 )
 from .tools import CallTools
 
 REJOIN_WAIT_MS = 100.0
-MAX_MOVES = 8
 REVOKE_RETRY_AFTER_MS = 1_000
 
-ReadyFlow = Generator[Step, Event, int | None]
-SuccessionFlow = Generator[Step, Event, bool]
-
 
-def run_with_fence(call: Call, tools: CallTools, token: str) -> CallFlow:
-    """Submit under a fence that the caller holds; follow it where it moved."""
-    for _ in range(MAX_MOVES):
-        fence = decode_fence(token).value_or(None)
-        if fence is None:
-            detail = "the fence is malformed: resend it as it was given"
-            return _refuse(Verdict.MAY_HAVE_RUN, Reason.MALFORMED, detail, token)
-        end = yield from _exchange(call, tools, fence, token)
-        if end.refusal is None or end.refusal.reason is not Reason.FENCE_MOVED:
-            return end
-        token = end.refusal.detail
-        yield Announce(token)
-    return _refuse(Verdict.MAY_HAVE_RUN, Reason.UNREACHABLE, "too many moves", token)
+def run_with_fence(
+    call: Call, tools: CallTools, fence: Fence, token: str
+) -> CallFlow:
+    """Submit under ``fence``, joining again by a new link when one breaks."""
+    attempt_id = f"{call.request_id}.{fence.nonce}"
+    attempt = Attempt(attempt_id, tools.split(call, attempt_id), token)
+    while True:
+        event = yield Ready(fence.host)
+        if isinstance(event, TimedOut):
+            return _late(token)
+        if not isinstance(event, LinkReady):
+            yield Pause(REJOIN_WAIT_MS)
+            continue
+        if event.incarnation != fence.incarnation:
+            return _other_incarnation(token)
+        event = yield Exchange(fence.host, tools.frame(call, attempt))
+        if isinstance(event, TimedOut):
+            return _late(token)
+        if isinstance(event, Replied) and is_whole(event.reply):
+            return _end_of(call, tools, attempt_id, event, token)
+        # The allowance travelled with the first copy; a further copy takes none.
+        attempt = attempt._replace(allowance=0)
+        tools.log("rejoin", call=call, host=fence.host, reason="link broke")
 
 
 def run_new(call: Call, tools: CallTools, ballot: str = "") -> CallFlow:
@@ -66,58 +75,42 @@
     while True:
         token = encode_fence(fence)
         yield Announce(token)
-        end = yield from _exchange(call, tools, fence, token)
+        end = yield from run_with_fence(call, tools, fence, token)
         if not _may_go_on(call, tools, end):
             return end
         successor = yield from _mint_at_next(call, tools, hosts, ballot)
-        if successor is None or not tools.spend(call):
+        # Asked again, as another copy may have taken the fence up meanwhile.
+        if successor is None or not tools.may_replace_fence(call):
             return end
-        granted = yield from _succeed(call, fence, successor)
-        if not granted:
+        if not tools.spend(call):
             return end
-        tools.log("fence_succeeded", call=call, host=successor.host)
+        tools.log("retry", call=call, host=successor.host, reason="not run")
         fence = successor
 
 
 def run_bare(call: Call, tools: CallTools) -> CallFlow:
     """Prove that the key never ran before running it, or find where it did."""
+    above = ""
     while True:
-        ballot = tools.next_ballot()
-        revocation = _revocation(call, tools, ballot)
+        ballot = tools.next_ballot(above)
+        revocation = Revocation(
+            request_id=f"{call.request_id}.{ballot}",
+            key=call.key,
+            ballot=ballot,
+            targets=tools.revoke_targets(call),
+            key_lifetime_ms=tools.key_lifetime_ms(),
+        )
         answered = yield AskAll(tuple(revocation.frames()))
         _note_answers(revocation, answered)
         outcome = revocation.outcome()
-        if isinstance(outcome, Found):
-            return (yield from run_with_fence(call, tools, outcome.fence))
         if isinstance(outcome, ProvenNotRun):
             return (yield from run_new(call, tools, ballot))
+        if isinstance(outcome, Found):
+            fence = decode_fence(outcome.fence).unwrap()
+            return (yield from run_with_fence(call, tools, fence, outcome.fence))
         if not isinstance(outcome, Superseded) or not tools.spend(call):
             return _unproven(outcome)
-
-
-def _exchange(call: Call, tools: CallTools, fence: Fence, token: str) -> CallFlow:
-    """Submit under ``fence``, joining again by a new link when one breaks."""
-    attempt_id = f"{call.request_id}.{fence.nonce}"
-    attempt = Attempt(attempt_id, tools.split(call, attempt_id), token)
-    while True:
-        event = yield Ready(fence.host)
-        if isinstance(event, TimedOut):
-            return _late(token)
-        if not isinstance(event, LinkReady):
-            yield Pause(REJOIN_WAIT_MS)
-            continue
-        if event.incarnation != fence.incarnation:
-            detail = "the node of this fence has restarted"
-            reason = Reason.FENCE_INCARNATION
-            return _refuse(Verdict.MAY_HAVE_RUN, reason, detail, token)
-        event = yield Exchange(fence.host, tools.frame(call, attempt))
-        if isinstance(event, TimedOut):
-            return _late(token)
-        if isinstance(event, Replied) and is_whole(event.reply):
-            return _end_of(call, tools, attempt_id, event, token)
-        # The allowance travelled with the first copy; a further copy takes none.
-        attempt = attempt._replace(allowance=0)
-        tools.log("rejoin", call=call, host=fence.host, reason="link broke")
+        above = outcome.ballot
 
 
 def _end_of(
@@ -133,7 +126,9 @@
 def _may_go_on(call: Call, tools: CallTools, end: CallEnd) -> bool:
     if end.refusal is None or end.refusal.verdict is not Verdict.NOT_RUN:
         return False
-    return is_retryable(end.refusal) and tools.may_retry(call)
+    if not is_retryable(end.refusal) or not tools.may_replace_fence(call):
+        return False
+    return tools.may_retry(call)
 
 
 def _hosts(call: Call, tools: CallTools) -> Iterator[str]:
@@ -160,27 +155,6 @@
     return None
 
 
-def _succeed(call: Call, fence: Fence, successor: Fence) -> SuccessionFlow:
-    succeed = Succeed(
-        request_id=f"{call.request_id}.{fence.nonce}",
-        key=call.key,
-        fence=encode_fence(fence),
-        successor=encode_fence(successor),
-    )
-    event = yield AskSuccession(fence.host, succeed)
-    return isinstance(event, SuccessionAnswered) and event.granted
-
-
-def _revocation(call: Call, tools: CallTools, ballot: str) -> Revocation:
-    targets = tools.revoke_targets(call)
-    return Revocation(
-        key=call.key,
-        ballot=ballot,
-        targets=targets,
-        key_lifetime_ms=tools.key_lifetime_ms(),
-    )
-
-
 def _note_answers(revocation: Revocation, event: Event) -> None:
     if not isinstance(event, AllAsked):
         return
@@ -191,22 +165,24 @@
             revocation.on_revoked(host, answer)
 
 
-def _unproven(outcome: object) -> CallEnd:
+def _unproven(outcome: RevocationOutcome) -> CallEnd:
     detail = "it can't be proven that this key did not run: resend it later"
+    retry_after_ms = REVOKE_RETRY_AFTER_MS
     if isinstance(outcome, MayHaveRun):
-        detail = f"{detail} ({outcome.reason})"
-    refusal = Refusal(
-        Verdict.MAY_HAVE_RUN, Reason.UNREACHABLE, REVOKE_RETRY_AFTER_MS, detail
-    )
+        detail = f"it can't be proven that this key did not run: {outcome.detail}"
+        retry_after_ms = outcome.retry_after_ms
+    refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.UNPROVEN, retry_after_ms, detail)
     return CallEnd(None, refusal)
 
 
-def _late(token: str) -> CallEnd:
-    return _refuse(Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "", token)
+def _other_incarnation(token: str) -> CallEnd:
+    detail = "the node that this fence names has restarted and lost its records"
+    return _refuse(Reason.FENCE_INCARNATION, detail, token)
 
 
-def _refuse(verdict: Verdict, reason: Reason, detail: str, token: str) -> CallEnd:
-    return CallEnd(None, Refusal(verdict, reason, 0, detail), token)
+def _late(token: str) -> CallEnd:
+    return _refuse(Reason.DEADLINE, "resend it with its fence", token)
 
 
-__all__ = ["Broken", "run_bare", "run_new", "run_with_fence"]
+def _refuse(reason: Reason, detail: str, token: str) -> CallEnd:
+    return CallEnd(None, Refusal(Verdict.MAY_HAVE_RUN, reason, 0, detail), token)
--- a/src/jacinthshed/internal/flow/idempotent.py
+++ b/src/jacinthshed/internal/flow/idempotent.py
@@ -48,12 +48,6 @@
         tools.log("retry", call=call, host=host, reason=refusal.reason)
 
 
-def run_shed(retry_after_ms: int) -> CallEnd:
-    """Return the end of a call that a service on its path would shed now."""
-    refusal = Refusal(Verdict.NOT_RUN, Reason.SHED, retry_after_ms)
-    return CallEnd(None, refusal)
-
-
 def _whole_reply(event: Event) -> Reply | None:
     if isinstance(event, Replied) and is_whole(event.reply):
         return event.reply
--- /dev/null
+++ b/src/jacinthshed/internal/flow/intake.py
@@ -0,0 +1,209 @@
+"""From a whole HTTP request to a call, or to the reason why it is none."""
+
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from ..admission.work import hash_of_root
+from ..bundle.routes import RouteMatch
+from ..fence.path import (
+    FreshKey,
+    NewKey,
+    OwnFence,
+    Path,
+    Refused,
+    RevokeFirst,
+    choose_path,
+)
+from ..http.message import Headers, Request, header
+from ..verdict import Reason, Refusal, Verdict
+from .call import Call
+from .context import ParentContext
+from .policy import Policy
+
+KEY_HEADER = b"idempotency-key"
+FENCE_HEADER = b"jacinthshed-fence"
+DEADLINE_HEADER = b"jacinthshed-deadline-ms"
+CONTEXT_HEADER = b"jacinthshed-context"
+SYSTEM_PREFIX = b"jacinthshed-"
+HOST_HEADER = b"host"
+NEW_FENCE = "new"
+
+MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_DIGITS = 9
+
+
+class Arrival(NamedTuple):
+    """When and as what a request came in.
+
+    ``nested_key`` is the scoped key of a nested call; ``held_fence`` is the fence that
+    an earlier copy of it was given, or ``new``.
+    """
+
+    request_id: str
+    now_ms: float
+    wall_ms: int
+    parent: ParentContext | None
+    calls_done: int
+    caller: str
+    nested_key: str = ""
+    held_fence: str = ""
+
+
+class Intake(NamedTuple):
+    """A call, and the way that it takes to its run."""
+
+    call: Call
+    path: Path
+
+
+def read_call(
+    request: Request, arrival: Arrival, policy: Policy
+) -> Result[Intake, Refusal]:
+    """Match ``request`` to its route and check the system's headers on it."""
+    host = header(request.headers, HOST_HEADER) or b""
+    match = policy.routes.match(request.method, request.target, host)
+    if match is None:
+        detail = "no route of the bundle has this method and path"
+        return _refuse(Reason.UNKNOWN_ROUTE, detail)
+    undeclared = _undeclared(match, arrival.parent, policy)
+    if undeclared is not None:
+        return _refuse(Reason.UNKNOWN_ROUTE, undeclared)
+    if len(request.body) > policy.bundle.sizes.request_bytes:
+        limit = policy.bundle.sizes.request_bytes
+        return _refuse(Reason.TOO_LARGE, f"the body may have {limit} bytes at most")
+    deadline = _deadline_ms(request.headers, match.route.deadline_ms)
+    if deadline is None:
+        detail = f"Jacinthshed-Deadline-Ms: send 1 to {MAX_DEADLINE_MS}"
+        return _refuse(Reason.MALFORMED, detail)
+    path = _path(request.headers, match, arrival, policy)
+    if isinstance(path, Refused):
+        return Failure(path.refusal)
+    return Success(_intake(request, arrival, policy, match, deadline, path))
+
+
+def _intake(
+    request: Request,
+    arrival: Arrival,
+    policy: Policy,
+    match: RouteMatch,
+    deadline_ms: int,
+    path: Path,
+) -> Intake:
+    parent = arrival.parent
+    root_id = parent.root_id if parent else arrival.request_id
+    deadline_at_ms = arrival.now_ms + deadline_ms
+    if parent is not None:
+        deadline_at_ms = min(deadline_at_ms, parent.deadline_at_ms)
+    left_ms = deadline_at_ms - arrival.now_ms
+    call = Call(
+        request_id=arrival.request_id,
+        root_id=root_id,
+        root_hash=parent.root_hash if parent else hash_of_root(root_id),
+        # A nested call keeps its root's rank: a refund must not be shed as a lookup
+        # at its last step, nor may a lookup pass for a refund.
+        rank=parent.rank if parent else match.route.rank,
+        route=match.route_name,
+        service=match.service,
+        services_below=policy.routes.services_below(match.route_name),
+        idempotent=match.route.idempotent,
+        method=request.method,
+        target=match.path_below,
+        headers=_forwarded(request.headers),
+        body=request.body,
+        deadline_at_ms=deadline_at_ms,
+        deadline_wall_ms=arrival.wall_ms + int(left_ms),
+        invested=parent.invested + arrival.calls_done if parent else 0,
+        key=_key_of(path, arrival),
+        ledger_id=parent.request_id if parent else arrival.request_id,
+        parent_id=parent.request_id if parent else "",
+        caller=arrival.caller,
+    )
+    return Intake(call, path)
+
+
+def may_be_resend(headers: Headers) -> bool:
+    """Return whether an earlier copy of the request may have run.
+
+    Only the caller's word that its key is new, or the lack of a key, rules that out.
+    Where this is true, that nothing was sent from here proves nothing.
+    """
+    if header(headers, KEY_HEADER) is None:
+        return False
+    return (header(headers, FENCE_HEADER) or b"").strip() != NEW_FENCE.encode()
+
+
+def refuse_early(headers: Headers, refusal: Refusal) -> Refusal:
+    """Return ``refusal`` with the verdict that holds before anything was sent."""
+    if may_be_resend(headers):
+        return refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+    return refusal
+
+
+def _undeclared(
+    match: RouteMatch, parent: ParentContext | None, policy: Policy
+) -> str | None:
+    """Return why the parent may not make this call, or ``None``.
+
+    The checks of a bundle rest on the declared calls. One that is not declared could
+    cause a side effect below a request that is sent twice.
+    """
+    if parent is None or match.route.idempotent:
+        return None
+    route = policy.bundle.routes.get(parent.route)
+    if route is not None and match.route_name in route.calls:
+        return None
+    return f"add {match.route_name!r} to the calls of route {parent.route!r}"
+
+
+def _path(
+    headers: Headers, match: RouteMatch, arrival: Arrival, policy: Policy
+) -> Path:
+    key = _text(headers, KEY_HEADER)
+    fence = _text(headers, FENCE_HEADER)
+    if arrival.parent is not None and not match.route.idempotent:
+        key, fence = arrival.nested_key, arrival.held_fence
+    return choose_path(
+        idempotent=match.route.idempotent,
+        require_key=policy.bundle.fence.require_key,
+        key=key,
+        fence=fence,
+    )
+
+
+def _key_of(path: Path, arrival: Arrival) -> str:
+    if isinstance(path, OwnFence | FreshKey | RevokeFirst):
+        return path.key
+    return arrival.request_id if isinstance(path, NewKey) else ""
+
+
+def nested_key(parent: ParentContext, given: str, call_number: int) -> str:
+    """Return the key of a nested call, within the scope of its parent.
+
+    The parent runs at most once, so that a key inside its scope is new when it is
+    first seen, and needs no question to all targets.
+    """
+    scope = parent.key or parent.request_id
+    return f"{scope}/{given or call_number}"
+
+
+def _text(headers: Headers, name: bytes) -> str:
+    return (header(headers, name) or b"").decode("latin-1").strip()
+
+
+def _deadline_ms(headers: Headers, default_ms: int) -> int | None:
+    given = header(headers, DEADLINE_HEADER)
+    if given is None:
+        return default_ms
+    if not given.isdigit() or len(given) > MAX_DEADLINE_DIGITS:
+        return None
+    deadline_ms = int(given)
+    return deadline_ms if 0 < deadline_ms <= MAX_DEADLINE_MS else None
+
+
+def _forwarded(headers: Headers) -> Headers:
+    return tuple(field for field in headers if not field[0].startswith(SYSTEM_PREFIX))
+
+
+def _refuse(reason: Reason, detail: str) -> Failure[Refusal]:
+    return Failure(Refusal(Verdict.NOT_RUN, reason, 0, detail))
--- a/src/jacinthshed/internal/flow/steps.py
+++ b/src/jacinthshed/internal/flow/steps.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..verdict import Refusal
-from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit, Succeed
+from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit
 
 
 class Ready(NamedTuple):
@@ -28,13 +28,6 @@
     asks: tuple[tuple[str, Revoke], ...]
 
 
-class AskSuccession(NamedTuple):
-    """Ask ``host`` to grant a successor; ends with ``SuccessionAnswered``."""
-
-    host: str
-    succeed: Succeed
-
-
 class TakeBack(NamedTuple):
     """Send ``cancel`` to ``host`` without waiting; ends with ``Done``."""
 
@@ -54,7 +47,7 @@
     wait_ms: float
 
 
-Step = Ready | Exchange | AskAll | AskSuccession | TakeBack | Announce | Pause
+Step = Ready | Exchange | AskAll | TakeBack | Announce | Pause
 
 
 class LinkReady(NamedTuple):
@@ -85,17 +78,11 @@
     answers: tuple[tuple[str, Revoked | None], ...]
 
 
-class SuccessionAnswered(NamedTuple):
-    """Whether the successor may go on; false as well when the host is unreachable."""
-
-    granted: bool
-
-
 class Done(NamedTuple):
     """The step was carried out."""
 
 
-Event = LinkReady | Replied | Broken | TimedOut | AllAsked | SuccessionAnswered | Done
+Event = LinkReady | Replied | Broken | TimedOut | AllAsked | Done
 
 
 class CallEnd(NamedTuple):
--- a/src/jacinthshed/internal/flow/tools.py
+++ b/src/jacinthshed/internal/flow/tools.py
@@ -4,17 +4,12 @@
 from typing import NamedTuple
 
 from ..fence.fence import Fence
+from ..fence.revocation import RevocationTarget
+from ..verdict import Refusal
 from ..wire.frames import Submit
 from .call import Attempt, Call
 
 
-class RevokeTarget(NamedTuple):
-    """A target that may have run a key; ``departed`` when it is gone by now."""
-
-    host: str
-    departed: bool
-
-
 class CallTools(NamedTuple):
     """Functions over the state of the node, passed in so that flows stay pure.
 
@@ -22,21 +17,25 @@
     ``home_order`` gives the targets in the order of the key's rendezvous rank.
     ``split``, ``spend`` and ``give_back`` work on the call's allowance.
     ``may_retry`` tells whether load and suspicion permit one more attempt.
-    ``shed_retry_after_ms`` gives the wait when a service on the path sheds this call.
+    ``may_replace_fence`` tells whether this node is the fence's only holder.
+    ``next_ballot`` makes a ballot above the given one.
+    ``refuse`` gives the refusal when a service on the path would shed this call now or
+    the request is in quarantine.
     """
 
     now_ms: Callable[[], float]
     wall_ms: Callable[[], int]
     pick: Callable[[Call, frozenset[str]], str | None]
     home_order: Callable[[Call], Sequence[str]]
-    revoke_targets: Callable[[Call], Sequence[RevokeTarget]]
+    revoke_targets: Callable[[Call], tuple[RevocationTarget, ...]]
     split: Callable[[Call, str], int]
     spend: Callable[[Call], bool]
     give_back: Callable[[Call, str, int], None]
     may_retry: Callable[[Call], bool]
-    shed_retry_after_ms: Callable[[Call], int | None]
+    may_replace_fence: Callable[[Call], bool]
+    refuse: Callable[[Call], Refusal | None]
     mint: Callable[[str, int, str], Fence]
-    next_ballot: Callable[[], str]
+    next_ballot: Callable[[str], str]
     key_lifetime_ms: Callable[[], int]
     frame: Callable[[Call, Attempt], Submit]
     log: Callable[..., None]
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -10,7 +10,6 @@
     AllAsked,
     Announce,
     AskAll,
-    AskSuccession,
     Broken,
     CallEnd,
     Done,
@@ -21,13 +20,12 @@
     Ready,
     Replied,
     Step,
-    SuccessionAnswered,
     TakeBack,
     TimedOut,
 )
-from ..wire.frames import Frame, Reply, Revoke, Revoked, Succeeded
+from ..wire.frames import Frame, Reply, Revoke, Revoked
 from .clock import MS_PER_S
-from .link import Channel, LinkEvent
+from .link import Channel, LinkEvent, give_up_exchange
 from .links import LinkTable
 from .one_shot import OneShot
 
@@ -74,8 +72,6 @@
         if channel is not None:
             channel.send(step.cancel)
         return Done()
-    if isinstance(step, AskSuccession):
-        return await _ask_succession(step, links)
     return await _ask_all(step, links)
 
 
@@ -83,7 +79,7 @@
     channel = await links.open(step.host)
     if channel is None or channel.peer is None:
         return Broken(sent=False)
-    return LinkReady(channel.peer.incarnation)
+    return LinkReady(channel.peer.record.incarnation)
 
 
 async def _exchange(step: Exchange, links: LinkTable) -> Event:
@@ -94,15 +90,6 @@
     return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
 
 
-async def _ask_succession(step: AskSuccession, links: LinkTable) -> Event:
-    with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
-        channel = await links.open(step.host)
-        if channel is not None:
-            frame = await _ask(channel, step.succeed.request_id, step.succeed)
-            return SuccessionAnswered(isinstance(frame, Succeeded) and frame.granted)
-    return SuccessionAnswered(granted=False)
-
-
 async def _ask_all(step: AskAll, links: LinkTable) -> Event:
     answers: dict[str, Revoked | None] = {host: None for host, _ in step.asks}
 
@@ -126,4 +113,4 @@
         channel.send(frame)
         return await exchange.wait()
     finally:
-        channel.exchanges.pop(request_id, None)
+        give_up_exchange(channel, request_id)
--- /dev/null
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -0,0 +1,215 @@
+"""The entry and egress listeners: from HTTP requests to calls and back."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from returns.result import Failure
+
+from ..fence.path import FRESH_FENCE
+from ..flow.call import Call
+from ..flow.choose import choose_flow
+from ..flow.context import ContextRegistry, ParentContext
+from ..flow.intake import (
+    CONTEXT_HEADER,
+    FENCE_HEADER,
+    KEY_HEADER,
+    SYSTEM_PREFIX,
+    Arrival,
+    Intake,
+    nested_key,
+    read_call,
+    refuse_early,
+)
+from ..flow.policy import Policy
+from ..flow.steps import CallEnd
+from ..flow.tools import CallTools
+from ..http.message import Request, Response, header
+from ..http.problem import refusal_response
+from ..http.server import Informational
+from ..retry.allowance import AllowanceLedger
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Reply
+from .clock import Clock
+from .driver import drive
+from .links import LinkTable
+
+INTERIM_STATUS = 100
+VERDICT_HEADER = b"jacinthshed-verdict"
+REQUEST_HEADER = b"jacinthshed-request"
+REQUEST_ID_BITS = 64
+LEAVING_RETRY_AFTER_MS = 100
+NO_BUNDLE_RETRY_AFTER_MS = 1_000
+
+LogDecision = Callable[..., None]
+
+
+class Gateway:
+    """Serves callers at the entry and this node's own backend server at the egress.
+
+    ``policy`` gives what is in force, or ``None`` while the node may not serve yet.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        random: Random,
+        policy: Callable[[], Policy | None],
+        ledger: AllowanceLedger,
+        contexts: ContextRegistry,
+        links: LinkTable,
+        tools: CallTools,
+        is_leaving: Callable[[], bool],
+        on_nested_done: Callable[[str, float], None],
+        log: LogDecision,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._policy = policy
+        self._ledger = ledger
+        self._contexts = contexts
+        self._links = links
+        self._tools = tools
+        self._is_leaving = is_leaving
+        self._on_nested_done = on_nested_done
+        self._log = log
+        self.in_flight = 0
+
+    async def serve_entry(self, request: Request, interim: Informational) -> Response:
+        """Answer a request from a caller; system headers on it mean nothing."""
+        if self._is_leaving():
+            refusal = Refusal(
+                Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
+            )
+            return refusal_response(refuse_early(request.headers, refusal))
+        return await self._serve(request, interim, None)
+
+    async def serve_egress(self, request: Request, interim: Informational) -> Response:
+        """Answer a call of this node's own backend server."""
+        context = header(request.headers, CONTEXT_HEADER) or b""
+        parent = self._contexts.get(context.decode("ascii", "replace"))
+        return await self._serve(request, interim, parent)
+
+    async def _serve(
+        self, request: Request, interim: Informational, parent: ParentContext | None
+    ) -> Response:
+        self.in_flight += 1
+        try:
+            return await self._answer(request, interim, parent)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(
+        self, request: Request, interim: Informational, parent: ParentContext | None
+    ) -> Response:
+        policy = self._policy()
+        request_id = f"{self._random.getrandbits(REQUEST_ID_BITS):016x}"
+        if policy is None:
+            refusal = Refusal(
+                Verdict.NOT_RUN, Reason.NO_BUNDLE, NO_BUNDLE_RETRY_AFTER_MS
+            )
+            refusal = refuse_early(request.headers, refusal)
+            return refusal_response(refusal, request_id=request_id)
+        arrival = self._arrival(request, request_id, parent)
+        intake = read_call(request, arrival, policy)
+        if isinstance(intake, Failure):
+            refusal = refuse_early(request.headers, intake.failure())
+            self._log_end(request_id, "", refusal)
+            return refusal_response(refusal, request_id=request_id)
+        end = await self._run(intake.unwrap(), policy, interim)
+        return _response(request_id, end)
+
+    def _arrival(
+        self, request: Request, request_id: str, parent: ParentContext | None
+    ) -> Arrival:
+        arrival = Arrival(
+            request_id=request_id,
+            now_ms=self._clock.now_ms(),
+            wall_ms=self._clock.wall_ms(),
+            parent=parent,
+            calls_done=0,
+            caller="entry",
+        )
+        if parent is None:
+            return arrival
+        given = (header(request.headers, KEY_HEADER) or b"").decode("latin-1")
+        number = self._contexts.next_call_number(parent.request_id)
+        key = nested_key(parent, given, number)
+        return arrival._replace(
+            calls_done=self._contexts.calls_done(parent.request_id),
+            caller="egress",
+            nested_key=key,
+            held_fence=self._contexts.take_fence(parent.request_id, key) or FRESH_FENCE,
+        )
+
+    async def _run(
+        self, intake: Intake, policy: Policy, interim: Informational
+    ) -> CallEnd:
+        call = intake.call
+        began_ms = self._clock.now_ms()
+        if not call.parent_id:
+            allowance = policy.bundle.retry.allowance
+            self._ledger.open(call.ledger_id, allowance)
+        try:
+            flow = choose_flow(intake, self._tools)
+            announce = self._announcer(call, interim)
+            end = await drive(flow, call, self._links, announce)
+        finally:
+            self._close(call, began_ms)
+        self._note_end(call, end)
+        return end
+
+    def _announcer(
+        self, call: Call, interim: Informational
+    ) -> Callable[[str], Awaitable[None]]:
+        async def announce(fence: str) -> None:
+            if call.parent_id:
+                self._contexts.keep_fence(call.parent_id, call.key, fence)
+                return
+            headers = ((FENCE_HEADER, fence.encode()),)
+            await interim(Response(INTERIM_STATUS, headers))
+
+        return announce
+
+    def _close(self, call: Call, began_ms: float) -> None:
+        if call.parent_id:
+            self._on_nested_done(call.parent_id, self._clock.now_ms() - began_ms)
+        else:
+            self._ledger.close(call.ledger_id)
+
+    def _note_end(self, call: Call, end: CallEnd) -> None:
+        if end.reply is not None and call.parent_id:
+            self._contexts.add_calls_done(call.parent_id, 1 + end.reply.calls_done)
+        self._log_end(call.request_id, call.route, end.refusal)
+
+    def _log_end(self, request_id: str, route: str, refusal: Refusal | None) -> None:
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        reason = "" if refusal is None else refusal.reason
+        self._log(
+            "request_ended",
+            request_id=request_id,
+            route=route,
+            verdict=verdict,
+            reason=reason,
+        )
+
+
+def _response(request_id: str, end: CallEnd) -> Response:
+    if end.refusal is not None:
+        response = refusal_response(end.refusal, request_id=request_id)
+    else:
+        assert end.reply is not None
+        response = _answer(request_id, end.reply)
+    if not end.fence:
+        return response
+    headers = (*response.headers, (FENCE_HEADER, end.fence.encode()))
+    return response._replace(headers=headers)
+
+
+def _answer(request_id: str, reply: Reply) -> Response:
+    headers = tuple(h for h in reply.headers if not h[0].startswith(SYSTEM_PREFIX))
+    headers += (
+        (VERDICT_HEADER, Verdict.RAN.encode()),
+        (REQUEST_HEADER, request_id.encode()),
+    )
+    return Response(reply.status, headers, reply.body)
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -154,10 +154,20 @@
 
 def finish_exchange(channel: Channel, request_id: str, frame: Frame) -> bool:
     """Hand ``frame`` to the exchange that waits for it; false when none does."""
-    exchange = channel.exchanges.pop(request_id, None)
+    exchange = _take_exchange(channel, request_id)
     if exchange is None:
         return False
-    if isinstance(channel, Link):
-        channel.health.ended()
     exchange.set(frame)
     return True
+
+
+def give_up_exchange(channel: Channel, request_id: str) -> None:
+    """Forget an exchange; a frame that comes for it later is dropped."""
+    _take_exchange(channel, request_id)
+
+
+def _take_exchange(channel: Channel, request_id: str) -> OneShot[LinkEvent] | None:
+    exchange = channel.exchanges.pop(request_id, None)
+    if exchange is not None and isinstance(channel, Link):
+        channel.health.ended()
+    return exchange
--- a/src/jacinthshed/internal/node/links.py
+++ b/src/jacinthshed/internal/node/links.py
@@ -128,7 +128,7 @@
         opening = self._opening[host]
         channel = await self.open_address(address)
         # An address may have passed to another host since the view was updated.
-        if channel is None or channel.peer is None or channel.peer.host != host:
+        if channel is None or channel.peer is None or channel.peer.record.host != host:
             return None
         self._by_host.setdefault(host, channel)
         opening.set(channel)
@@ -159,6 +159,6 @@
 
     def _remove(self, link: Link) -> None:
         self._by_number.pop(link.number, None)
-        if link.peer is not None and self._by_host.get(link.peer.host) is link:
-            del self._by_host[link.peer.host]
+        if link.peer is not None and self._by_host.get(link.peer.record.host) is link:
+            del self._by_host[link.peer.record.host]
         self._on_closed(link.number)
--- a/src/jacinthshed/internal/verdict.py
+++ b/src/jacinthshed/internal/verdict.py
@@ -24,7 +24,7 @@
     DEADLINE = "deadline"
     FENCE_EXPIRED = "fence-expired"
     FENCE_INCARNATION = "fence-incarnation"
-    FENCE_MOVED = "fence-moved"
+    UNPROVEN = "unproven"
     CANCELLED = "cancelled"
     QUARANTINED = "quarantined"
     MALFORMED = "malformed"
@@ -45,7 +45,7 @@
     Reason.DEADLINE: 504,
     Reason.FENCE_EXPIRED: 409,
     Reason.FENCE_INCARNATION: 409,
-    Reason.FENCE_MOVED: 409,
+    Reason.UNPROVEN: 409,
     Reason.CANCELLED: 409,
     Reason.QUARANTINED: 422,
     Reason.MALFORMED: 400,
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -21,8 +21,6 @@
     StatusAsk,
     StatusData,
     Submit,
-    Succeed,
-    Succeeded,
 )
 
 PROTOCOL_VERSION = 1
@@ -36,8 +34,6 @@
     Cancel,
     Revoke,
     Revoked,
-    Succeed,
-    Succeeded,
     Gossip,
     Heartbeat,
     Leaving,
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -10,20 +10,6 @@
 Header = tuple[bytes, bytes]
 
 
-class Hello(NamedTuple):
-    """First frame of each side of a link."""
-
-    protocol: int
-    host: str
-    incarnation: int
-    service: str
-    availability_zone: str
-    peer_address: str
-    leaving: bool
-    bundle_version: int
-    bundle_digest: bytes
-
-
 class Submit(NamedTuple):
     """One attempt of a request.
 
@@ -108,26 +94,6 @@
     uptime_ms: int
 
 
-class Succeed(NamedTuple):
-    """Asks the target of a refused fence to let ``successor`` take its place.
-
-    The target grants one successor at most, so that two entry nodes which were both
-    told *not run* never both go on.
-    """
-
-    request_id: str
-    key: str
-    fence: str
-    successor: str
-
-
-class Succeeded(NamedTuple):
-    """Answer to ``Succeed``."""
-
-    request_id: str
-    granted: bool
-
-
 class MemberRecord(NamedTuple):
     """What is told about one node.
 
@@ -145,6 +111,15 @@
     started_ms: int
 
 
+class Hello(NamedTuple):
+    """First frame of each side of a link."""
+
+    protocol: int
+    record: MemberRecord
+    bundle_version: int
+    bundle_digest: bytes
+
+
 class Gossip(NamedTuple):
     """News about members, with a digest of the sender's whole view."""
 
@@ -203,8 +178,6 @@
     | Cancel
     | Revoke
     | Revoked
-    | Succeed
-    | Succeeded
     | Gossip
     | Heartbeat
     | Leaving
