Fences: tokens, ballots, the target's memo, revocation and paths

Every method of the memo takes an Instant of both clocks: records are kept by the monotonic one, which a clock correction does not move.

--- /dev/null
+++ b/src/jacinthshed/internal/fence/fence.py
@@ -0,0 +1,106 @@
+"""The permission to run one non-idempotent request at one place."""
+
+import base64
+import binascii
+from random import Random
+from typing import NamedTuple
+
+import msgpack
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from .ballot import ballot_wall_ms
+
+MAX_TOKEN_CHARS = 1_024
+
+_CHECKSUM_BYTES = 4
+_NONCE_BITS = 64
+
+
+class Fence(NamedTuple):
+    """Names the only target, and its incarnation, at which a request may run.
+
+    ``minted_ms`` and ``expires_ms`` are wall-clock times of the host that minted it.
+    ``born_ms`` is when the key was first used, as far as the minting host knows: a
+    fence that replaces a refused one inherits it. ``ballot`` is empty, or that of the
+    revocation that proved the key not run.
+    """
+
+    host: str
+    incarnation: int
+    minted_ms: int
+    expires_ms: int
+    born_ms: int
+    ballot: str
+    nonce: str
+
+
+class FenceError(NamedTuple):
+    """Why a token is no fence, and what the caller should do."""
+
+    detail: str
+
+
+def mint(
+    *,
+    host: str,
+    incarnation: int,
+    wall_ms: int,
+    lifetime_ms: int,
+    ballot: str,
+    random: Random,
+    born_ms: int | None = None,
+) -> Fence:
+    """Return a new fence for ``host``; nothing remembers it but the fence itself.
+
+    ``born_ms`` is given when the fence replaces one that was refused *not run*, or
+    when the request arrived some time ago. A fence with a ballot is never younger than
+    its ballot, so that a revoker that slept can't mint one that outlives the promises.
+    """
+    known_ms = [wall_ms]
+    if born_ms is not None:
+        known_ms.append(born_ms)
+    if ballot:
+        known_ms.append(ballot_wall_ms(ballot))
+    return Fence(
+        host=host,
+        incarnation=incarnation,
+        minted_ms=wall_ms,
+        expires_ms=wall_ms + lifetime_ms,
+        born_ms=min(known_ms),
+        ballot=ballot,
+        nonce=f"{random.getrandbits(_NONCE_BITS):016x}",
+    )
+
+
+def encode_fence(fence: Fence) -> str:
+    """Return ``fence`` as a token of URL-safe ASCII characters."""
+    payload = msgpack.packb(list(fence))
+    checked = payload + _checksum(payload)
+    return base64.urlsafe_b64encode(checked).rstrip(b"=").decode("ascii")
+
+
+def decode_fence(token: str) -> Result[Fence, FenceError]:
+    """Return the fence in ``token``, or what is wrong with it.
+
+    The checksum finds truncation and typing errors; it doesn't authenticate.
+    """
+    if len(token) > MAX_TOKEN_CHARS:
+        return Failure(FenceError(f"a fence has at most {MAX_TOKEN_CHARS} characters"))
+    try:
+        checked = base64.b64decode(_padded(token), altchars=b"-_", validate=True)
+        payload = checked[:-_CHECKSUM_BYTES]
+        if _checksum(payload) != checked[-_CHECKSUM_BYTES:]:
+            return Failure(FenceError("the fence is damaged; send it as it was given"))
+        return Success(msgspec.convert(msgpack.unpackb(payload), Fence))
+    except (ValueError, TypeError, binascii.Error, msgpack.UnpackException):
+        return Failure(FenceError("not a fence; send it as it was given"))
+
+
+def _checksum(payload: bytes) -> bytes:
+    return xxhash.xxh32_digest(payload)
+
+
+def _padded(token: str) -> bytes:
+    return token.encode("ascii", "replace") + b"=" * (-len(token) % 4)
--- /dev/null
+++ b/src/jacinthshed/internal/fence/memo.py
@@ -0,0 +1,292 @@
+"""The target's memory of non-idempotent requests.
+
+At most once rests on three rules. A fence runs only at the incarnation that it names,
+so what has run is known where it counts. A key that was accepted is looked up by the
+key, so two fences of one key run it once. And a fence runs only if its ballot is the
+one promised for its key, so a revocation that has every target's answer is final.
+"""
+
+from returns.result import Success
+
+from ..bundle.model import FencePolicy
+from ..verdict import Refusal, Verdict
+from ..wire.frames import Reply, Revoke, Revoked
+from . import refusals
+from .checks import has_expired, is_stale, predates
+from .decisions import Answered, Cancelled, Dead, Join, Run
+from .fence import Fence, decode_fence, encode_fence
+from .instant import Instant
+from .promises import Promises
+from .run_record import RunRecord, RunState
+from .runs import Runs
+from .tombstones import Tombstones
+
+Decision = Run | Join | Answered | Dead
+UNCHANGED_MS = float("inf")
+
+
+class FenceMemo:
+    """Decides which fences run at one incarnation of one target.
+
+    ``max_entries`` bounds keys, tombstones and promises, each by itself;
+    ``max_bytes`` bounds the answers that are held for resends. ``started_ms`` is
+    monotonic.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation: int,
+        started_ms: float,
+        policy: FencePolicy,
+        max_entries: int,
+        max_bytes: int,
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._started_ms = started_ms
+        self._complete_since_ms = started_ms
+        self._policy = policy
+        self._runs = Runs(max_entries=max_entries, max_bytes=max_bytes)
+        self._tombstones = Tombstones(max_entries=max_entries)
+        self._promises = Promises(max_entries=max_entries)
+
+    @property
+    def sizes(self) -> dict[str, int]:
+        """Entries of each table and bytes of held answers, for status and metrics."""
+        return {
+            "keys": len(self._runs),
+            "tombstones": len(self._tombstones),
+            "promises": len(self._promises),
+            "answer_bytes": self._runs.held_bytes,
+        }
+
+    def set_policy(self, at: Instant, policy: FencePolicy) -> None:
+        """Follow a new bundle.
+
+        Records that ended earlier were kept for the old lifetime only, so a longer one
+        is vouched for from there on.
+        """
+        if policy.key_lifetime_ms > self._policy.key_lifetime_ms:
+            kept_since_ms = at.now_ms - self._policy.key_lifetime_ms
+            self._complete_since_ms = max(self._complete_since_ms, kept_since_ms)
+        self._policy = policy
+
+    def submit(
+        self,
+        at: Instant,
+        key: str,
+        token: str,
+        request_id: str,
+        *,
+        fingerprint: int = 0,
+    ) -> Decision:
+        """Decide about one copy of a request.
+
+        ``fingerprint`` tells two requests apart that were given the same key.
+        """
+        self._expire(at)
+        match decode_fence(token):
+            case Success(fence):
+                return self._submit(at, key, fence, request_id, fingerprint)
+            case _:
+                return Dead(refusals.MALFORMED)
+
+    def may_dispatch(self, at: Instant, key: str, token: str) -> bool:
+        """Return whether the request may go to the backend server at this moment.
+
+        It is asked directly before the dispatch: a process that slept while the
+        request was queued may wake when nobody counts on it any more. When the answer
+        is no, call ``refused``.
+        """
+        record = self._runs.get(key)
+        if record is None or record.state is not RunState.QUEUED:
+            return False
+        fence = record.fence
+        return (
+            encode_fence(fence) == token
+            and self._is_ours(fence)
+            and not has_expired(at, fence, self._policy)
+            and fence.ballot == self._promises.get(key)
+        )
+
+    def dispatched(self, key: str) -> None:
+        """Note that the request is on its way to the backend server.
+
+        Raises ``ValueError`` when the key isn't queued.
+        """
+        record = self._runs.get(key)
+        if record is None or record.state is not RunState.QUEUED:
+            raise ValueError(f"key {key!r} is not queued; ask may_dispatch first")
+        record.state = RunState.DISPATCHED
+
+    def refused(self, at: Instant, key: str, token: str, refusal: Refusal) -> Refusal:
+        """Bury the fence, and return the refusal that may be told to its callers.
+
+        After ``dispatched`` this is for a backend server that says itself that it
+        didn't run the request. What can't be proven comes back as *may have run*.
+        """
+        match decode_fence(token):
+            case Success(fence):
+                return self._refused(at, key, fence, refusal)
+            case _:
+                return refusals.MALFORMED
+
+    def answered(self, at: Instant, key: str, reply: Reply) -> None:
+        """Remember that the key ran, and its answer as long as there is room."""
+        record = self._end(at, key, RunState.ANSWERED)
+        self._runs.hold(record, reply._replace(allowance=0))
+
+    def failed(self, at: Instant, key: str) -> None:
+        """Remember that the backend server broke off: the key may have run."""
+        self._end(at, key, RunState.FAILED)
+
+    def cancel(
+        self, at: Instant, key: str, token: str
+    ) -> Cancelled | Join | Answered | Dead:
+        """Turn the fence into a tombstone unless it was dispatched."""
+        self._expire(at)
+        match decode_fence(token):
+            case Success(fence):
+                return self._cancel(at, key, fence)
+            case _:
+                return Dead(refusals.MALFORMED)
+
+    def revoke(
+        self, at: Instant, revoke: Revoke, *, list_age_ms: float = UNCHANGED_MS
+    ) -> Revoked:
+        """Say whether the key is known here, and promise the ballot if it isn't.
+
+        ``list_age_ms`` is how long ago this node last learned of a target of its
+        service that came or went. It bounds what the node vouches for, so that a
+        revoker that hasn't heard of that target doesn't take silence for proof.
+        """
+        self._expire(at)
+        vouched_ms = min(at.now_ms - self._complete_since_ms, list_age_ms)
+        outcome, fence = self._revoke(at, revoke.key, revoke.ballot)
+        return Revoked(revoke.request_id, outcome, fence, int(vouched_ms))
+
+    def _submit(
+        self, at: Instant, key: str, fence: Fence, request_id: str, fingerprint: int
+    ) -> Decision:
+        record = self._runs.get(key)
+        if record is not None:
+            if fingerprint != record.fingerprint:
+                return Dead(refusals.OTHER_REQUEST)
+            return self._join(at, record, fence)
+        refusal = self._obstacle(at, key, fence)
+        if refusal is not None:
+            return Dead(refusal)
+        if self._runs.full:
+            return Dead(self._bury(at, key, fence, refusals.MEMORY_FULL))
+        self._runs.add(
+            RunRecord(
+                key=key, fence=fence, request_id=request_id, fingerprint=fingerprint
+            )
+        )
+        return Run()
+
+    def _join(
+        self, at: Instant, record: RunRecord, fence: Fence
+    ) -> Join | Answered | Dead:
+        if record.state is RunState.ANSWERED:
+            if record.reply is None:
+                return Dead(refusals.ANSWER_DROPPED)
+            return Answered(record.reply)
+        if record.state is RunState.FAILED:
+            return Dead(refusals.BACKEND_FAILED)
+        if fence != record.fence:
+            # The queued run may yet be refused, and its joiners told *not run*. That
+            # has to be true of this fence too, which only its own host can promise.
+            if record.state is RunState.QUEUED and not self._is_ours(fence):
+                return Dead(refusals.OTHER_INCARNATION)
+            if self._is_ours(fence):
+                self._bury(at, record.key, fence, refusals.MERGED)
+        return Join(record.request_id)
+
+    def _obstacle(self, at: Instant, key: str, fence: Fence) -> Refusal | None:
+        """Return why a fence may not start a key that isn't known here."""
+        if not self._is_ours(fence):
+            return refusals.OTHER_INCARNATION
+        if fence.ballot != self._promises.get(key):
+            return refusals.SUPERSEDED
+        tombstone = self._tombstones.get(key, fence)
+        if tombstone is not None:
+            return tombstone
+        if has_expired(at, fence, self._policy):
+            return refusals.EXPIRED
+        if fence.minted_ms <= self._runs.forgotten_minted_ms:
+            return refusals.EXPIRED
+        if fence.minted_ms <= self._tombstones.horizon_ms:
+            return refusals.BELOW_HORIZON
+        if predates(at, fence, self._policy, started_ms=self._started_ms):
+            return refusals.OLDER_KEY
+        return None
+
+    def _refused(
+        self, at: Instant, key: str, fence: Fence, refusal: Refusal
+    ) -> Refusal:
+        record = self._runs.get(key)
+        if record is None:
+            return self._obstacle(at, key, fence) or self._bury(at, key, fence, refusal)
+        if record.ended or record.fence != fence:
+            return refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+        self._runs.remove(record)
+        return self._bury(at, key, fence, refusal)
+
+    def _cancel(
+        self, at: Instant, key: str, fence: Fence
+    ) -> Cancelled | Join | Answered | Dead:
+        record = self._runs.get(key)
+        if record is None:
+            refusal = self._obstacle(at, key, fence)
+            if refusal is not None and refusal.verdict is not Verdict.NOT_RUN:
+                return Dead(refusal)
+            buried = refusal or self._bury(at, key, fence, refusals.CANCELLED)
+            return Cancelled(buried, "")
+        if record.state is RunState.QUEUED and record.fence == fence:
+            self._runs.remove(record)
+            refusal = self._bury(at, key, fence, refusals.CANCELLED)
+            return Cancelled(refusal, record.request_id)
+        return self._join(at, record, fence)
+
+    def _revoke(self, at: Instant, key: str, ballot: str) -> tuple[str, str]:
+        record = self._runs.get(key)
+        if record is not None:
+            return "found", encode_fence(record.fence)
+        promised = self._promises.get(key)
+        if ballot < promised or is_stale(at, ballot, self._policy):
+            return "superseded", promised
+        if ballot > promised and not self._promise(at, key, ballot):
+            return "superseded", promised
+        return "tombstone", ""
+
+    def _promise(self, at: Instant, key: str, ballot: str) -> bool:
+        policy = self._policy
+        kept_ms = policy.key_lifetime_ms + policy.lifetime_ms + policy.skew_ms
+        return self._promises.give(key, ballot, keep_until_ms=at.now_ms + kept_ms)
+
+    def _bury(self, at: Instant, key: str, fence: Fence, refusal: Refusal) -> Refusal:
+        final = refusal._replace(verdict=Verdict.NOT_RUN)
+        left_ms = max(0, fence.expires_ms - at.wall_ms)
+        keep_until_ms = at.now_ms + left_ms + self._policy.skew_ms
+        self._tombstones.add(key, fence, final, keep_until_ms=keep_until_ms)
+        return final
+
+    def _end(self, at: Instant, key: str, state: RunState) -> RunRecord:
+        record = self._runs.get(key)
+        if record is None or record.state is not RunState.DISPATCHED:
+            raise ValueError(f"key {key!r} is not dispatched; call dispatched first")
+        left_ms = record.fence.expires_ms - at.wall_ms
+        kept_ms = max(left_ms, self._policy.key_lifetime_ms) + self._policy.skew_ms
+        self._runs.end(record, state, keep_until_ms=at.now_ms + kept_ms)
+        return record
+
+    def _expire(self, at: Instant) -> None:
+        self._runs.expire(at.now_ms)
+        self._tombstones.expire(at.now_ms)
+        self._promises.expire(at.now_ms)
+
+    def _is_ours(self, fence: Fence) -> bool:
+        return fence.host == self._host and fence.incarnation == self._incarnation
