--- /dev/null
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -0,0 +1,68 @@
+"""What refuses an attempt before the load is looked at."""
+
+from collections.abc import Callable
+
+from ..fence.instant import Instant
+from ..quarantine.suspects import Quarantined, RunAlone, Suspects
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Submit
+from .policy import Policy
+
+ALONE_RETRY_AFTER_MS = 100
+LEAVING_RETRY_AFTER_MS = 50
+NO_BUNDLE_RETRY_AFTER_MS = 500
+
+
+class ArrivalCheck:
+    """Checks arrivals against the bundle in force, the clocks and suspicions."""
+
+    def __init__(
+        self, *, policy: Callable[[], Policy | None], suspects: Suspects
+    ) -> None:
+        self._policy = policy
+        self._suspects = suspects
+        self._refusing = False
+
+    def refuse_new_work(self) -> None:
+        """Refuse all new work from now on."""
+        self._refusing = True
+
+    def refusal(
+        self, at: Instant, submit: Submit, mark: int, alone_in_hand: bool
+    ) -> Refusal | None:
+        """Return why the attempt is refused, or ``None``.
+
+        ``alone_in_hand`` tells that a request is in hand that has to run alone.
+        """
+        policy = self._policy()
+        idempotent = policy.is_idempotent(submit.route) if policy else None
+        if idempotent is None:
+            detail = "the target's bundle lacks this route"
+            return _refuse(Reason.NO_BUNDLE, NO_BUNDLE_RETRY_AFTER_MS, detail)
+        if not idempotent and not submit.fence:
+            detail = "the target's bundle makes this route non-idempotent"
+            return _refuse(Reason.KEY_REQUIRED, 0, detail)
+        if self._refusing:
+            return _refuse(Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
+        if submit.deadline_ms <= 0 or self.is_late(at, submit):
+            return _refuse(Reason.DEADLINE, 0)
+        return self._suspicion(at, mark, alone_in_hand)
+
+    def is_late(self, at: Instant, submit: Submit) -> bool:
+        """Return whether the deadline passed by the wall clock, with the skew off."""
+        policy = self._policy()
+        skew_ms = policy.bundle.fence.skew_ms if policy else 0
+        return at.wall_ms - submit.deadline_wall_ms > skew_ms
+
+    def _suspicion(self, at: Instant, mark: int, alone_in_hand: bool) -> Refusal | None:
+        check = self._suspects.check(at.now_ms, mark)
+        if isinstance(check, Quarantined):
+            return _refuse(Reason.QUARANTINED, check.retry_after_ms)
+        if isinstance(check, RunAlone) and alone_in_hand:
+            detail = "another request that may crash the server is running"
+            return _refuse(Reason.SHED, ALONE_RETRY_AFTER_MS, detail)
+        return None
+
+
+def _refuse(reason: Reason, retry_after_ms: int, detail: str = "") -> Refusal:
+    return Refusal(Verdict.NOT_RUN, reason, retry_after_ms, detail)
--- a/src/jacinthshed/internal/flow/backend_outcome.py
+++ b/src/jacinthshed/internal/flow/backend_outcome.py
@@ -63,9 +63,7 @@
     verdict = _stated_verdict(result)
     if verdict is Verdict.RAN:
         return None
-    reason = (
-        Reason.SHED if result.status == OVERLOAD_STATUS else Reason.BACKEND_FAILED
-    )
+    reason = Reason.SHED if result.status == OVERLOAD_STATUS else Reason.BACKEND_FAILED
     return Refusal(
         verdict,
         reason,
--- a/src/jacinthshed/internal/flow/context.py
+++ b/src/jacinthshed/internal/flow/context.py
@@ -7,8 +7,6 @@
     """What a nested call inherits from the request that makes it.
 
     ``invested`` counts the calls of the root that were done before the parent began.
-    ``idempotent`` tells whether the parent may run twice, in which case it must not
-    cause side effects below.
     """
 
     request_id: str
@@ -16,7 +14,6 @@
     root_hash: int
     rank: int
     route: str
-    idempotent: bool
     deadline_at_ms: float
     invested: int
     key: str
--- a/src/jacinthshed/internal/flow/fenced.py
+++ b/src/jacinthshed/internal/flow/fenced.py
@@ -11,11 +11,11 @@
 from ..fence.revocation import (
     Found,
     MayHaveRun,
+    Outcome as RevocationOutcome,
     ProvenNotRun,
     Revocation,
     Superseded,
 )
-from ..fence.revocation import Outcome as RevocationOutcome
 from ..verdict import Reason, Refusal, Verdict
 from .call import Attempt, Call
 from .idempotent import CallFlow
@@ -41,9 +41,7 @@
 REVOKE_RETRY_AFTER_MS = 1_000
 
 
-def run_with_fence(
-    call: Call, tools: CallTools, fence: Fence, token: str
-) -> CallFlow:
+def run_with_fence(call: Call, tools: CallTools, fence: Fence, token: str) -> CallFlow:
     """Submit under ``fence``, joining again by a new link when one breaks."""
     attempt_id = f"{call.request_id}.{fence.nonce}"
     attempt = Attempt(attempt_id, tools.split(call, attempt_id), token)
--- a/src/jacinthshed/internal/flow/idempotent.py
+++ b/src/jacinthshed/internal/flow/idempotent.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Generator
 
-from ..verdict import Reason, Refusal, Verdict
+from ..verdict import Refusal, Verdict
 from ..wire.frames import Cancel, Reply
 from .call import Attempt, Call
 from .replies import is_whole, refusal_of
--- a/src/jacinthshed/internal/flow/replies.py
+++ b/src/jacinthshed/internal/flow/replies.py
@@ -3,21 +3,21 @@
 import xxhash
 
 from ..verdict import Reason, Refusal, Verdict
-from ..wire.frames import Header, Reply
+from ..wire.frames import Reply
+from .backend_outcome import BackendAnswer
+from .job import Waiter
 
 NOTHING_SHED_RANK = 101
 
 
-def answer_reply(
-    request_id: str, *, status: int, headers: tuple[Header, ...], body: bytes
-) -> Reply:
+def answer_reply(request_id: str, answer: BackendAnswer) -> Reply:
     """Return the reply that carries a backend server's whole answer."""
     return Reply(
         request_id=request_id,
-        status=status,
-        headers=headers,
-        body=body,
-        checksum=xxhash.xxh3_64_intdigest(body),
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+        checksum=xxhash.xxh3_64_intdigest(answer.body),
         verdict=Verdict.RAN,
         reason="",
         detail="",
@@ -50,6 +50,16 @@
     )
 
 
+def addressed(reply: Reply, waiter: Waiter, unused: int) -> Reply:
+    """Return ``reply`` as it goes to ``waiter``.
+
+    ``unused`` is the allowance that is left. It goes to the copy that the request ran
+    for, and only to that one; a copy that joined gets its own back.
+    """
+    allowance = unused if waiter.own_allowance is None else waiter.own_allowance
+    return reply._replace(request_id=waiter.request_id, allowance=allowance)
+
+
 def is_whole(reply: Reply) -> bool:
     """Return whether the body is the one that the target sent."""
     return not reply.status or reply.checksum == xxhash.xxh3_64_intdigest(reply.body)
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -1,19 +1,22 @@
 """The target's decisions: from an attempt's arrival to its reply."""
 
-import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ..admission.admission import Admission
 from ..admission.decision import Decision, Start
 from ..admission.outcome import Outcome
+from ..admission.shed_level import ShedLevel
 from ..admission.work import Work
-from ..fence.memo import Answered, Dead, FenceMemo, Join, Run
+from ..fence.decisions import Cancelled
+from ..fence.instant import Instant
+from ..fence.memo import FenceMemo
 from ..quarantine.fingerprint import fingerprint
-from ..quarantine.suspects import Quarantined, RunAlone, Suspects
+from ..quarantine.suspects import RunAlone, Suspects
 from ..retry.allowance import AllowanceLedger
 from ..verdict import Reason, Refusal, Verdict
-from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit
+from ..wire.frames import Cancel, Reply, Revoke, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
+from .arrival_check import ArrivalCheck
 from .backend_outcome import (
     BackendAnswer,
     BackendFailure,
@@ -23,136 +26,117 @@
     refusal_from,
 )
 from .context import ContextRegistry, ParentContext
+from .fenced_copy import remembered
 from .job import Job, Waiter
-from .replies import answer_reply, refusal_reply
-
-ALONE_RETRY_AFTER_MS = 100
-LEAVING_RETRY_AFTER_MS = 50
+from .job_table import JobTable, join
+from .replies import addressed, answer_reply, refusal_reply
 
 
 class Target:
     """All requests at one backend server, and the decisions about them.
 
-    Every method takes the monotonic time ``now_ms`` and, where fences are concerned,
-    the wall-clock time ``wall_ms``; every method returns what has to be done.
-    ``is_declared`` tells whether a route of the bundle in force is idempotent, or
-    ``None`` when it has no such route.
+    Every method that takes a moment ``at`` returns what has to be done at that moment.
+    ``fold_level`` combines this target's shed level with those of the services that a
+    route calls. ``list_age_ms`` is the time since a target of this service came or
+    went.
     """
 
     def __init__(
         self,
         *,
         host: str,
-        incarnation: int,
         admission: Admission,
         memo: FenceMemo,
         suspects: Suspects,
         ledger: AllowanceLedger,
         contexts: ContextRegistry,
-        is_idempotent: Callable[[str], bool | None],
-        skew_ms: Callable[[], int],
+        check: ArrivalCheck,
+        fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
+        list_age_ms: Callable[[Instant], float],
     ) -> None:
         self._host = host
-        self._incarnation = incarnation
         self._admission = admission
         self._memo = memo
         self._suspects = suspects
         self._ledger = ledger
         self._contexts = contexts
-        self._is_idempotent = is_idempotent
-        self._skew_ms = skew_ms
-        self._tickets = itertools.count(1)
-        self._jobs: dict[int, Job] = {}
-        self._by_request: dict[str, Job] = {}
-        self._by_key: dict[str, Job] = {}
+        self._check = check
+        self._fold_level = fold_level
+        self._list_age_ms = list_age_ms
+        self._jobs = JobTable()
         self._nested_ms: dict[str, float] = {}
-        self._refusing = False
 
     @property
     def jobs(self) -> int:
         """How many requests are queued or running."""
         return len(self._jobs)
 
-    @property
-    def running(self) -> int:
-        """How many requests the backend server has in hand."""
-        return sum(job.running for job in self._jobs.values())
-
-    def refuse_new_work(self) -> None:
-        """Refuse all new work from now on; work in hand goes on."""
-        self._refusing = True
-
-    def submit(
-        self, now_ms: float, wall_ms: int, link: int, submit: Submit
-    ) -> list[TargetAction]:
+    def submit(self, at: Instant, link: int, submit: Submit) -> list[TargetAction]:
         """Take an attempt that arrived on ``link``."""
-        idempotent = self._is_idempotent(submit.route)
-        if submit.request_id in self._by_request:
-            return self._join(self._by_request[submit.request_id], link, submit)
+        known = self._jobs.by_request(submit.request_id)
+        if known is not None:
+            join(known, link, submit)
+            return []
+        mark = fingerprint(submit.route, submit.body)
         if submit.fence:
             # The memo comes before every other check, as a copy of a request that
             # is running has to find it even when new work is refused.
-            remembered = self._remembered(wall_ms, link, submit)
-            if remembered is not None:
-                return remembered
-        refusal = self._refusal(now_ms, wall_ms, submit, idempotent)
+            copy = remembered(self._memo, self._jobs, at, link, submit, mark)
+            if copy is not None:
+                return copy
+        refusal = self._check.refusal(at, submit, mark, self._jobs.has_alone())
         if refusal is not None:
-            return self._refuse_arrival(wall_ms, link, submit, refusal)
-        return self._admit(now_ms, wall_ms, link, submit)
+            return [self._refuse_arrival(at, link, submit, refusal)]
+        return self._admit(at, link, submit, mark)
 
     def backend_done(
-        self, now_ms: float, wall_ms: int, ticket: int, result: BackendResult
+        self, at: Instant, ticket: int, result: BackendResult
     ) -> list[TargetAction]:
         """Take the end of an exchange with the backend server."""
         job = self._jobs.get(ticket)
         if job is None:
             return []
-        reply = self._conclude(now_ms, wall_ms, job, result)
-        decisions = self._finish(now_ms, job, admission_outcome(result))
-        actions = self._reply_all(now_ms, job, reply)
-        return actions + self._apply(now_ms, wall_ms, decisions)
+        reply = self._conclude(at, job, result)
+        decisions = self._finish(at, job, admission_outcome(result))
+        actions = self._reply_all(at, job, reply)
+        return actions + self._apply(at, decisions)
 
-    def backend_crashed(self, now_ms: float, tickets: Iterable[int]) -> None:
+    def backend_crashed(self, at: Instant, tickets: list[int]) -> None:
         """Suspect the requests that were running when the backend server died."""
-        jobs = [self._jobs[ticket] for ticket in tickets if ticket in self._jobs]
-        running = [job.fingerprint for job in jobs if job.running]
-        self._suspects.crashed(now_ms, self._host, self._incarnation, running)
+        jobs = [job for ticket in tickets if (job := self._jobs.get(ticket))]
+        marks = [job.fingerprint for job in jobs if job.running]
+        self._suspects.crashed(at.now_ms, self._host, marks)
 
     def running_tickets(self) -> list[int]:
         """Return the tickets that the backend server has in hand."""
-        return [ticket for ticket, job in self._jobs.items() if job.running]
+        return [job.ticket for job in self._jobs.running()]
 
-    def cancel(
-        self, now_ms: float, wall_ms: int, link: int, cancel: Cancel
-    ) -> list[TargetAction]:
+    def cancel(self, at: Instant, link: int, cancel: Cancel) -> list[TargetAction]:
         """Take back an attempt, where it has not begun."""
         if cancel.fence:
-            return self._cancel_fenced(now_ms, wall_ms, link, cancel)
-        job = self._by_request.get(cancel.request_id)
-        if job is None:
-            return []
-        return self._abandon(now_ms, wall_ms, job, link)
+            return self._cancel_fenced(at, link, cancel)
+        job = self._jobs.by_request(cancel.request_id)
+        return [] if job is None else self._abandon(at, job, link)
 
-    def revoke(self, wall_ms: int, link: int, revoke: Revoke) -> list[TargetAction]:
+    def revoke(self, at: Instant, link: int, revoke: Revoke) -> list[TargetAction]:
         """Tell whether a key ran here and forbid older fences for it."""
-        revoked: Revoked = self._memo.revoke(
-            wall_ms, revoke.request_id, revoke.key, revoke.ballot
-        )
-        return [Send(link, revoked)]
+        list_age_ms = self._list_age_ms(at)
+        return [Send(link, self._memo.revoke(at, revoke, list_age_ms=list_age_ms))]
 
-    def link_closed(
-        self, now_ms: float, wall_ms: int, link: int
-    ) -> list[TargetAction]:
+    def link_closed(self, at: Instant, link: int) -> list[TargetAction]:
         """Stop work that is idempotent and that nobody waits for any more."""
         actions: list[TargetAction] = []
-        for job in list(self._jobs.values()):
-            if any(waiter.link == link for waiter in job.waiters):
-                actions += self._abandon(now_ms, wall_ms, job, link)
+        for job in self._jobs.waiting_on(link):
+            actions += self._abandon(at, job, link)
         return actions
 
-    def expire(self, now_ms: float, wall_ms: int) -> list[TargetAction]:
+    def expire(self, at: Instant) -> list[TargetAction]:
         """Refuse queued work whose deadline has passed."""
-        return self._apply(now_ms, wall_ms, self._admission.expire(now_ms))
+        return self._apply(at, self._admission.expire(at.now_ms))
+
+    def resized(self, at: Instant, decisions: list[Decision]) -> list[TargetAction]:
+        """Carry out what followed from new sizes of the admission."""
+        return self._apply(at, decisions)
 
     def next_expiry_ms(self) -> float | None:
         """Return when ``expire`` has work to do next, or ``None``."""
@@ -160,67 +144,22 @@
 
     def add_nested_ms(self, request_id: str, nested_ms: float) -> None:
         """Count time that a running request spent in calls below it."""
-        if request_id in self._by_request:
+        if self._jobs.by_request(request_id) is not None:
             spent = self._nested_ms.get(request_id, 0.0)
             self._nested_ms[request_id] = spent + nested_ms
 
-    def _remembered(
-        self, wall_ms: int, link: int, submit: Submit
-    ) -> list[TargetAction] | None:
-        outcome = self._memo.submit(
-            wall_ms, submit.key, submit.fence, submit.request_id
-        )
-        if isinstance(outcome, Run):
-            return None
-        if isinstance(outcome, Join) and submit.key in self._by_key:
-            return self._join(self._by_key[submit.key], link, submit)
-        if isinstance(outcome, Answered):
-            return [Send(link, _for_waiter(outcome.reply, link, submit))]
-        refusal = outcome.refusal if isinstance(outcome, Dead) else _LOST_TRACK
-        return [self._refusal_to(link, submit, refusal)]
-
-    def _refusal(
-        self, now_ms: float, wall_ms: int, submit: Submit, idempotent: bool | None
-    ) -> Refusal | None:
-        if idempotent is None:
-            return Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_ROUTE, 0, submit.route)
-        if not idempotent and not submit.fence:
-            detail = "the target's bundle makes this route non-idempotent: send a fence"
-            return Refusal(Verdict.NOT_RUN, Reason.KEY_REQUIRED, 0, detail)
-        if self._refusing:
-            return Refusal(Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
-        if self._is_late(wall_ms, submit):
-            return Refusal(Verdict.NOT_RUN, Reason.DEADLINE)
-        return self._suspicion(now_ms, fingerprint(submit.route, submit.body))
-
-    def _is_late(self, wall_ms: int, submit: Submit) -> bool:
-        late_ms = wall_ms - submit.deadline_wall_ms
-        return submit.deadline_ms <= 0 or late_ms > self._skew_ms()
-
-    def _suspicion(self, now_ms: float, suspect: int) -> Refusal | None:
-        check = self._suspects.check(now_ms, suspect)
-        if isinstance(check, Quarantined):
-            return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, check.retry_after_ms)
-        if isinstance(check, RunAlone) and any(j.alone for j in self._jobs.values()):
-            detail = "another request that may crash the server is running"
-            return Refusal(
-                Verdict.NOT_RUN, Reason.SHED, ALONE_RETRY_AFTER_MS, detail
-            )
-        return None
-
     def _admit(
-        self, now_ms: float, wall_ms: int, link: int, submit: Submit
+        self, at: Instant, link: int, submit: Submit, mark: int
     ) -> list[TargetAction]:
-        mark = fingerprint(submit.route, submit.body)
         job = Job(
-            ticket=next(self._tickets),
+            ticket=self._jobs.next_ticket(),
             submit=submit,
             fingerprint=mark,
-            deadline_at_ms=now_ms + submit.deadline_ms,
-            alone=isinstance(self._suspects.check(now_ms, mark), RunAlone),
+            deadline_at_ms=at.now_ms + submit.deadline_ms,
+            alone=isinstance(self._suspects.check(at.now_ms, mark), RunAlone),
             link=link,
         )
-        self._remember(job)
+        self._jobs.add(job)
         work = Work(
             ticket=job.ticket,
             rank=submit.rank,
@@ -228,12 +167,10 @@
             root_hash=submit.root_hash,
             deadline_at_ms=job.deadline_at_ms,
         )
-        decisions = self._admission.offer(now_ms, work, submit.route)
-        return self._apply(now_ms, wall_ms, decisions)
+        decisions = self._admission.offer(at.now_ms, work, submit.route)
+        return self._apply(at, decisions)
 
-    def _apply(
-        self, now_ms: float, wall_ms: int, decisions: list[Decision]
-    ) -> list[TargetAction]:
+    def _apply(self, at: Instant, decisions: list[Decision]) -> list[TargetAction]:
         actions: list[TargetAction] = []
         pending = list(decisions)
         while pending:
@@ -241,40 +178,34 @@
             job = self._jobs.get(decision.ticket)
             if job is None:
                 continue
-            if not isinstance(decision, Start):
-                refusal = Refusal(
-                    Verdict.NOT_RUN, decision.reason, decision.retry_after_ms
-                )
-                actions += self._refuse_job(now_ms, wall_ms, job, refusal)
-                continue
-            late = self._too_late_to_start(now_ms, wall_ms, job)
-            if late is None:
-                actions.append(self._start(now_ms, job))
+            refusal = self._refusal_for(at, decision, job)
+            if refusal is None:
+                actions.append(self._start(at, job))
                 continue
-            actions += self._refuse_job(now_ms, wall_ms, job, late)
-            pending += self._admission.finish(
-                now_ms, job.ticket, 0.0, Outcome.CANCELLED
-            )
+            actions += self._refuse_job(at, job, refusal)
+            if isinstance(decision, Start):
+                pending += self._admission.finish(
+                    at.now_ms, job.ticket, 0.0, Outcome.CANCELLED
+                )
         return actions
 
-    def _too_late_to_start(
-        self, now_ms: float, wall_ms: int, job: Job
-    ) -> Refusal | None:
+    def _refusal_for(self, at: Instant, decision: Decision, job: Job) -> Refusal | None:
+        """Return why ``job`` doesn't start, or ``None`` when it does."""
+        if not isinstance(decision, Start):
+            return Refusal(Verdict.NOT_RUN, decision.reason, decision.retry_after_ms)
         submit = job.submit
-        if now_ms >= job.deadline_at_ms or self._is_late(wall_ms, submit):
+        if at.now_ms >= job.deadline_at_ms or self._check.is_late(at, submit):
             return Refusal(Verdict.NOT_RUN, Reason.DEADLINE)
-        if submit.fence and not self._memo.may_dispatch(
-            wall_ms, submit.key, submit.fence
-        ):
+        if submit.fence and not self._memo.may_dispatch(at, submit.key, submit.fence):
             return Refusal(Verdict.NOT_RUN, Reason.FENCE_EXPIRED)
         return None
 
-    def _start(self, now_ms: float, job: Job) -> Dispatch:
+    def _start(self, at: Instant, job: Job) -> Dispatch:
         submit = job.submit
-        job.started_at_ms = now_ms
+        job.started_at_ms = at.now_ms
         if submit.fence:
             self._memo.dispatched(submit.key)
-        self._suspects.started(now_ms, job.fingerprint)
+        self._suspects.started(at.now_ms, job.fingerprint)
         self._ledger.open(submit.request_id, submit.allowance)
         self._contexts.open(
             ParentContext(
@@ -283,35 +214,27 @@
                 root_hash=submit.root_hash,
                 rank=submit.rank,
                 route=submit.route,
-                idempotent=not submit.fence,
                 deadline_at_ms=job.deadline_at_ms,
                 invested=submit.invested,
                 key=submit.key,
             )
         )
-        return Dispatch(job.ticket, submit, job.deadline_at_ms - now_ms)
+        return Dispatch(job.ticket, submit, job.deadline_at_ms - at.now_ms)
 
-    def _conclude(
-        self, now_ms: float, wall_ms: int, job: Job, result: BackendResult
-    ) -> Reply:
+    def _conclude(self, at: Instant, job: Job, result: BackendResult) -> Reply:
         submit = job.submit
         refusal = self._refusal_from(result, job.fingerprint)
         if refusal is None:
             assert isinstance(result, BackendAnswer)
-            reply = answer_reply(
-                submit.request_id,
-                status=result.status,
-                headers=result.headers,
-                body=result.body,
-            )
-            self._suspects.succeeded(now_ms, job.fingerprint)
+            reply = answer_reply(submit.request_id, result)
+            self._suspects.succeeded(at.now_ms, job.fingerprint)
             if submit.fence:
-                self._memo.answered(wall_ms, submit.key, reply)
+                self._memo.answered(at, submit.key, reply)
             return reply
         if submit.fence and refusal.verdict is Verdict.NOT_RUN:
-            self._memo.refused(wall_ms, submit.key, submit.fence, refusal)
+            refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         elif submit.fence:
-            self._memo.failed(wall_ms, submit.key)
+            self._memo.failed(at, submit.key)
         return refusal_reply(submit.request_id, refusal)
 
     def _refusal_from(self, result: BackendResult, mark: int) -> Refusal | None:
@@ -323,21 +246,23 @@
             return refusal._replace(reason=Reason.CRASHED)
         return refusal
 
-    def _finish(self, now_ms: float, job: Job, outcome: Outcome) -> list[Decision]:
-        started_at_ms = job.started_at_ms if job.started_at_ms is not None else now_ms
+    def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
+        started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
         nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
         return self._admission.finish(
-            now_ms, job.ticket, now_ms - started_at_ms, outcome, nested_ms
+            at.now_ms, job.ticket, at.now_ms - started_ms, outcome, nested_ms
         )
 
-    def _reply_all(self, now_ms: float, job: Job, reply: Reply) -> list[TargetAction]:
+    def _reply_all(self, at: Instant, job: Job, reply: Reply) -> list[TargetAction]:
         """End the job and send its reply to everybody who waits for it."""
-        request_id = job.submit.request_id
-        started = job.running
+        submit = job.submit
         self._forget(job)
-        calls_done = self._contexts.close(request_id)
-        unused = self._ledger.close(request_id) if started else job.submit.allowance
-        level = self._admission.level(now_ms)
+        calls_done = self._contexts.close(submit.request_id)
+        unused = submit.allowance
+        if job.running:
+            unused = self._ledger.close(submit.request_id)
+        own_level = self._admission.level(at.now_ms)
+        level = self._fold_level(at, submit.route, own_level)
         reply = reply._replace(
             calls_done=calls_done,
             load=self._admission.load,
@@ -345,92 +270,54 @@
             shed_hash=level.root_hash,
         )
         return [
-            Send(waiter.link, _addressed(reply, waiter, unused))
+            Send(waiter.link, addressed(reply, waiter, unused))
             for waiter in job.waiters
         ]
 
     def _refuse_job(
-        self, now_ms: float, wall_ms: int, job: Job, refusal: Refusal
+        self, at: Instant, job: Job, refusal: Refusal
     ) -> list[TargetAction]:
         submit = job.submit
         if submit.fence:
-            self._memo.refused(wall_ms, submit.key, submit.fence, refusal)
-        return self._reply_all(
-            now_ms, job, refusal_reply(submit.request_id, refusal)
-        )
+            refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
+        return self._reply_all(at, job, refusal_reply(submit.request_id, refusal))
 
     def _refuse_arrival(
-        self, wall_ms: int, link: int, submit: Submit, refusal: Refusal
-    ) -> list[TargetAction]:
+        self, at: Instant, link: int, submit: Submit, refusal: Refusal
+    ) -> Send:
         if submit.fence:
-            self._memo.refused(wall_ms, submit.key, submit.fence, refusal)
-        return [self._refusal_to(link, submit, refusal)]
-
-    def _refusal_to(self, link: int, submit: Submit, refusal: Refusal) -> Send:
+            refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         reply = refusal_reply(submit.request_id, refusal)
         return Send(link, reply._replace(allowance=submit.allowance))
 
     def _cancel_fenced(
-        self, now_ms: float, wall_ms: int, link: int, cancel: Cancel
+        self, at: Instant, link: int, cancel: Cancel
     ) -> list[TargetAction]:
-        job = self._by_key.get(cancel.key)
-        if job is not None and not job.running and job.submit.fence == cancel.fence:
-            self._admission.withdraw(now_ms, job.ticket)
-            refusal = Refusal(Verdict.NOT_RUN, Reason.CANCELLED)
-            return self._refuse_job(now_ms, wall_ms, job, refusal)
-        outcome = self._memo.cancel(wall_ms, cancel.key, cancel.fence)
-        if isinstance(outcome, Answered):
-            reply = outcome.reply._replace(request_id=cancel.request_id, allowance=0)
-            return [Send(link, reply)]
-        if isinstance(outcome, Dead):
-            return [Send(link, refusal_reply(cancel.request_id, outcome.refusal))]
+        job = self._jobs.by_key(cancel.key)
+        outcome = self._memo.cancel(at, cancel.key, cancel.fence)
+        if isinstance(outcome, Cancelled):
+            reply = refusal_reply(cancel.request_id, outcome.refusal)
+            actions: list[TargetAction] = [Send(link, reply)]
+            if outcome.request_id and job is not None:
+                self._admission.withdraw(at.now_ms, job.ticket)
+                reply = refusal_reply(job.submit.request_id, outcome.refusal)
+                actions += self._reply_all(at, job, reply)
+            return actions
         if job is not None:
             job.waiters.append(Waiter(link, cancel.request_id, 0))
         return []
 
-    def _abandon(
-        self, now_ms: float, wall_ms: int, job: Job, link: int
-    ) -> list[TargetAction]:
+    def _abandon(self, at: Instant, job: Job, link: int) -> list[TargetAction]:
         job.waiters = [waiter for waiter in job.waiters if waiter.link != link]
         if job.waiters or job.submit.fence:
             # A fenced request goes on: its answer is what a later copy will join.
             return []
         if job.running:
             return [Abort(job.ticket)]
-        self._admission.withdraw(now_ms, job.ticket)
+        self._admission.withdraw(at.now_ms, job.ticket)
         self._forget(job)
         return []
 
-    def _join(self, job: Job, link: int, submit: Submit) -> list[TargetAction]:
-        waiter = Waiter(link, submit.request_id, submit.allowance)
-        known = {(other.link, other.request_id) for other in job.waiters}
-        if (link, submit.request_id) not in known:
-            job.waiters.append(waiter)
-        return []
-
-    def _remember(self, job: Job) -> None:
-        self._jobs[job.ticket] = job
-        self._by_request[job.submit.request_id] = job
-        if job.submit.fence:
-            self._by_key[job.submit.key] = job
-
     def _forget(self, job: Job) -> None:
-        submit = job.submit
-        self._jobs.pop(job.ticket, None)
-        self._by_request.pop(submit.request_id, None)
-        self._nested_ms.pop(submit.request_id, None)
-        if submit.fence:
-            self._by_key.pop(submit.key, None)
-
-
-_LOST_TRACK = Refusal(Verdict.MAY_HAVE_RUN, Reason.BACKEND_FAILED)
-
-
-def _for_waiter(reply: Reply, link: int, submit: Submit) -> Reply:
-    waiter = Waiter(link, submit.request_id, submit.allowance)
-    return _addressed(reply, waiter, 0)
-
-
-def _addressed(reply: Reply, waiter: Waiter, unused: int) -> Reply:
-    allowance = unused if waiter.own_allowance is None else waiter.own_allowance
-    return reply._replace(request_id=waiter.request_id, allowance=allowance)
+        self._jobs.remove(job)
+        self._nested_ms.pop(job.submit.request_id, None)
--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -5,6 +5,7 @@
 import trio
 
 from ..bundle.model import SizeLimits
+from ..fence.instant import Instant
 from ..flow.actions import Abort, Dispatch, Send, TargetAction
 from ..flow.backend_outcome import (
     BackendAnswer,
@@ -83,8 +84,7 @@
             with trio.move_on_after(wait_ms / 1_000):
                 await self._expiry_changed.wait()
                 continue
-            now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-            self.perform(self._target.expire(now_ms, wall_ms))
+            self.perform(self._target.expire(self._at()))
 
     def _send(self, action: Send) -> None:
         channel = self._links.get(action.link)
@@ -120,8 +120,10 @@
         )
 
     def _done(self, ticket: int, result: BackendResult) -> None:
-        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-        self.perform(self._target.backend_done(now_ms, wall_ms, ticket, result))
+        self.perform(self._target.backend_done(self._at(), ticket, result))
+
+    def _at(self) -> Instant:
+        return Instant(self._clock.now_ms(), self._clock.wall_ms())
 
     async def _tell_crash(self, result: BackendResult) -> BackendResult:
         """Tell a crash of the backend server from one broken connection.
@@ -132,7 +134,7 @@
         running = self._target.running_tickets()
         if await self._is_backend_up():
             return result
-        self._target.backend_crashed(self._clock.now_ms(), running)
+        self._target.backend_crashed(self._at(), running)
         assert isinstance(result, BackendFailure)
         return result._replace(cause=FailureCause.CRASHED)
 
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -78,9 +78,7 @@
     async def serve_entry(self, request: Request, interim: Informational) -> Response:
         """Answer a request from a caller; system headers on it mean nothing."""
         if self._is_leaving():
-            refusal = Refusal(
-                Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
-            )
+            refusal = Refusal(Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return refusal_response(refuse_early(request.headers, refusal))
         return await self._serve(request, interim, None)
 
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -80,7 +80,7 @@
     def __init__(self) -> None:
         self._bytes = bytearray()
 
-    def feed(self, data: bytes) -> Iterator[Frame]:
+    def feed(self, data: bytes | bytearray) -> Iterator[Frame]:
         """Add ``data`` and yield each frame that is complete.
 
         Raises ``FrameError`` on an oversize or malformed frame.
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -14,10 +14,11 @@
     """One attempt of a request.
 
     ``deadline_ms`` is the time left and ``deadline_wall_ms`` the same moment on the
-    sender's wall clock, so that a target which slept through it can tell. ``root_hash`` orders requests of the same rank
-    alike at every layer. ``invested`` counts the calls of the same root that are
-    already done. ``allowance`` is what the sender gives away of the root's retries.
-    ``fence`` and ``key`` are empty for idempotent requests.
+    sender's wall clock, so that a target which slept through it can tell.
+    ``root_hash`` orders requests of the same rank alike at every layer. ``invested``
+    counts the calls of the same root that are already done. ``allowance`` is what the
+    sender gives away of the root's retries. ``fence`` and ``key`` are empty for
+    idempotent requests.
     """
 
     request_id: str
