--- a/src/jacinthshed/internal/flow/arrival_check.py
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from ..fence.instant import Instant
-from ..quarantine.suspects import Quarantined, RunAlone, Suspects
+from ..quarantine.decisions import Quarantined, RunAlone
+from ..quarantine.suspects import Suspects
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Submit
 from .policy import Policy
@@ -27,13 +28,8 @@
         """Refuse all new work from now on."""
         self._refusing = True
 
-    def refusal(
-        self, at: Instant, submit: Submit, mark: int, alone_in_hand: bool
-    ) -> Refusal | None:
-        """Return why the attempt is refused, or ``None``.
-
-        ``alone_in_hand`` tells that a request is in hand that has to run alone.
-        """
+    def refusal(self, at: Instant, submit: Submit, mark: int) -> Refusal | None:
+        """Return why the attempt is refused, or ``None``."""
         policy = self._policy()
         idempotent = policy.is_idempotent(submit.route) if policy else None
         if idempotent is None:
@@ -46,7 +42,7 @@
             return _refuse(Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
         if submit.deadline_ms <= 0 or self.is_late(at, submit):
             return _refuse(Reason.DEADLINE, 0)
-        return self._suspicion(at, mark, alone_in_hand)
+        return self._suspicion(at, mark)
 
     def is_late(self, at: Instant, submit: Submit) -> bool:
         """Return whether the deadline passed by the wall clock, with the skew off."""
@@ -54,11 +50,11 @@
         skew_ms = policy.bundle.fence.skew_ms if policy else 0
         return at.wall_ms - submit.deadline_wall_ms > skew_ms
 
-    def _suspicion(self, at: Instant, mark: int, alone_in_hand: bool) -> Refusal | None:
+    def _suspicion(self, at: Instant, mark: int) -> Refusal | None:
         check = self._suspects.check(at.now_ms, mark)
         if isinstance(check, Quarantined):
             return _refuse(Reason.QUARANTINED, check.retry_after_ms)
-        if isinstance(check, RunAlone) and alone_in_hand:
+        if isinstance(check, RunAlone) and check.busy:
             detail = "another request that may crash the server is running"
             return _refuse(Reason.SHED, ALONE_RETRY_AFTER_MS, detail)
         return None
--- a/src/jacinthshed/internal/flow/job.py
+++ b/src/jacinthshed/internal/flow/job.py
@@ -26,7 +26,7 @@
         "fingerprint",
         "deadline_at_ms",
         "started_at_ms",
-        "alone",
+        "accused",
         "waiters",
     )
 
@@ -37,7 +37,6 @@
         submit: Submit,
         fingerprint: int,
         deadline_at_ms: float,
-        alone: bool,
         link: int,
     ) -> None:
         self.ticket = ticket
@@ -45,7 +44,7 @@
         self.fingerprint = fingerprint
         self.deadline_at_ms = deadline_at_ms
         self.started_at_ms: float | None = None
-        self.alone = alone
+        self.accused = False
         self.waiters = [Waiter(link, submit.request_id, None)]
 
     @property
--- a/src/jacinthshed/internal/flow/job_table.py
+++ b/src/jacinthshed/internal/flow/job_table.py
@@ -52,10 +52,6 @@
         """Return the requests that the backend server has in hand."""
         return [job for job in self._jobs.values() if job.running]
 
-    def has_alone(self) -> bool:
-        """Return whether a request is in hand that has to run alone."""
-        return any(job.alone for job in self._jobs.values())
-
     def waiting_on(self, link: int) -> list[Job]:
         """Return the requests whose reply is owed to that link."""
         return [
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -11,7 +11,7 @@
 from ..fence.instant import Instant
 from ..fence.memo import FenceMemo
 from ..quarantine.fingerprint import fingerprint
-from ..quarantine.suspects import RunAlone, Suspects
+from ..quarantine.suspects import Suspects
 from ..retry.allowance import AllowanceLedger
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Cancel, Reply, Revoke, Submit
@@ -45,6 +45,7 @@
         self,
         *,
         host: str,
+        incarnation: int,
         admission: Admission,
         memo: FenceMemo,
         suspects: Suspects,
@@ -55,6 +56,7 @@
         list_age_ms: Callable[[Instant], float],
     ) -> None:
         self._host = host
+        self._incarnation = incarnation
         self._admission = admission
         self._memo = memo
         self._suspects = suspects
@@ -84,7 +86,7 @@
             copy = remembered(self._memo, self._jobs, at, link, submit, mark)
             if copy is not None:
                 return copy
-        refusal = self._check.refusal(at, submit, mark, self._jobs.has_alone())
+        refusal = self._check.refusal(at, submit, mark)
         if refusal is not None:
             return [self._refuse_arrival(at, link, submit, refusal)]
         return self._admit(at, link, submit, mark)
@@ -102,10 +104,18 @@
         return actions + self._apply(at, decisions)
 
     def backend_crashed(self, at: Instant, tickets: list[int]) -> None:
-        """Suspect the requests that were running when the backend server died."""
+        """Suspect the requests that were running when the backend server died.
+
+        Each of their exchanges notices the same death; only the first counts it.
+        """
         jobs = [job for ticket in tickets if (job := self._jobs.get(ticket))]
-        marks = [job.fingerprint for job in jobs if job.running]
-        self._suspects.crashed(at.now_ms, self._host, marks)
+        fresh = [job for job in jobs if job.running and not job.accused]
+        if not fresh:
+            return
+        for job in fresh:
+            job.accused = True
+        marks = [job.fingerprint for job in fresh]
+        self._suspects.crashed(at.now_ms, self._host, self._incarnation, marks)
 
     def running_tickets(self) -> list[int]:
         """Return the tickets that the backend server has in hand."""
@@ -156,7 +166,6 @@
             submit=submit,
             fingerprint=mark,
             deadline_at_ms=at.now_ms + submit.deadline_ms,
-            alone=isinstance(self._suspects.check(at.now_ms, mark), RunAlone),
             link=link,
         )
         self._jobs.add(job)
@@ -205,7 +214,7 @@
         job.started_at_ms = at.now_ms
         if submit.fence:
             self._memo.dispatched(submit.key)
-        self._suspects.started(at.now_ms, job.fingerprint)
+        self._suspects.started(job.fingerprint)
         self._ledger.open(submit.request_id, submit.allowance)
         self._contexts.open(
             ParentContext(
@@ -231,6 +240,8 @@
             if submit.fence:
                 self._memo.answered(at, submit.key, reply)
             return reply
+        if not job.accused:
+            self._suspects.stopped(job.fingerprint)
         if submit.fence and refusal.verdict is Verdict.NOT_RUN:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         elif submit.fence:
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -25,6 +25,10 @@
     return ()
 
 
+def _never() -> int:
+    return -1
+
+
 def _always(host: str) -> bool:
     return True
 
@@ -45,6 +49,7 @@
         random: Random,
         bundle_order: Callable[[], BundleOrder],
         suspects: Callable[[], Suspects] = tuple,
+        platform_age_ms: Callable[[], int] = _never,
         linked: Callable[[], Sequence[str]] = _no_hosts,
         is_reachable: Callable[[str], bool] = _always,
     ) -> None:
@@ -53,6 +58,7 @@
         self._random = random
         self._bundle_order = bundle_order
         self._suspects = suspects
+        self._platform_age_ms = platform_age_ms
         self._peers = Peers(
             view=view, random=random, linked=linked, is_reachable=is_reachable
         )
@@ -168,6 +174,7 @@
             bundle_version=order.version,
             bundle_digest=order.digest,
             suspects=self._suspects()[:MAX_SUSPECTS],
+            platform_age_ms=self._platform_age_ms(),
         )
 
 
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -27,6 +27,7 @@
 from .clock import MS_PER_S
 from .link import Channel, LinkEvent, give_up_exchange
 from .links import LinkTable
+from .observer import ExchangeObserver
 from .one_shot import OneShot
 
 REPLY_GRACE_MS = 50.0
@@ -36,7 +37,12 @@
 
 
 async def drive(
-    flow: CallFlow, call: Call, links: LinkTable, announce: AnnounceFence
+    flow: CallFlow,
+    call: Call,
+    *,
+    links: LinkTable,
+    announce: AnnounceFence,
+    observer: ExchangeObserver,
 ) -> CallEnd:
     """Run ``flow`` to its end.
 
@@ -51,14 +57,19 @@
         except StopIteration as stop:
             return stop.value
         with trio.CancelScope(deadline=deadline_s) as scope:
-            event = await _perform(step, links, announce)
+            event = await _perform(step, links, announce, observer)
         if scope.cancelled_caught:
             event = TimedOut()
 
 
-async def _perform(step: Step, links: LinkTable, announce: AnnounceFence) -> Event:
+async def _perform(
+    step: Step,
+    links: LinkTable,
+    announce: AnnounceFence,
+    observer: ExchangeObserver,
+) -> Event:
     if isinstance(step, Exchange):
-        return await _exchange(step, links)
+        return await _exchange(step, links, observer)
     if isinstance(step, Ready):
         return await _ready(step, links)
     if isinstance(step, Announce):
@@ -82,11 +93,18 @@
     return LinkReady(channel.peer.record.incarnation)
 
 
-async def _exchange(step: Exchange, links: LinkTable) -> Event:
+async def _exchange(
+    step: Exchange, links: LinkTable, observer: ExchangeObserver
+) -> Event:
     channel = links.to(step.host) or await links.open(step.host)
     if channel is None:
         return Broken(sent=False)
-    frame = await _ask(channel, step.submit.request_id, step.submit)
+    frame: LinkEvent = None
+    observer.sent(step.host)
+    try:
+        frame = await _ask(channel, step.submit.request_id, step.submit)
+    finally:
+        observer.ended(step.host, frame if isinstance(frame, Reply) else None)
     return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
 
 
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -32,6 +32,7 @@
 from .clock import Clock
 from .driver import drive
 from .links import LinkTable
+from .observer import ExchangeObserver
 
 INTERIM_STATUS = 100
 VERDICT_HEADER = b"jacinthshed-verdict"
@@ -61,6 +62,7 @@
         tools: CallTools,
         is_leaving: Callable[[], bool],
         on_nested_done: Callable[[str, float], None],
+        observe: Callable[[Call], ExchangeObserver],
         log: LogDecision,
     ) -> None:
         self._clock = clock
@@ -72,6 +74,7 @@
         self._tools = tools
         self._is_leaving = is_leaving
         self._on_nested_done = on_nested_done
+        self._observe = observe
         self._log = log
         self.in_flight = 0
 
@@ -151,7 +154,13 @@
         try:
             flow = choose_flow(intake, self._tools)
             announce = self._announcer(call, interim)
-            end = await drive(flow, call, self._links, announce)
+            end = await drive(
+                flow,
+                call,
+                links=self._links,
+                announce=announce,
+                observer=self._observe(call),
+            )
         finally:
             self._close(call, began_ms)
         self._note_end(call, end)
--- /dev/null
+++ b/src/jacinthshed/internal/node/state.py
@@ -0,0 +1,147 @@
+"""The decisions' state of one node, put together."""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from ..admission.admission import Admission
+from ..admission.levels import LevelTable
+from ..admission.shed_level import NOTHING_SHED, ShedLevel
+from ..bundle.model import (
+    AdmissionPolicy,
+    FencePolicy,
+    MembershipPolicy,
+    QuarantinePolicy,
+    RetryPolicy,
+    RoutingPolicy,
+)
+from ..bundle.signing import TrustedOperators
+from ..bundle.store import BundleStore
+from ..fence.ballot import Ballots
+from ..fence.instant import Instant
+from ..fence.memo import FenceMemo
+from ..flow.arrival_check import ArrivalCheck
+from ..flow.context import ContextRegistry
+from ..flow.policy import Policy
+from ..flow.target import Target
+from ..membership.failure import FailureTracker
+from ..membership.pause import PauseDetector
+from ..membership.view import View
+from ..quarantine.suspects import Suspects
+from ..retry.allowance import AllowanceLedger
+from ..retry.resend_bucket import ResendBucket
+from ..routing.picker import Picker
+from ..wire.frames import MemberRecord
+
+MEMO_MAX_ENTRIES = 100_000
+MEMO_MAX_BYTES = 32 * 1024 * 1024
+
+
+class NodeState(NamedTuple):
+    """All state that decisions are made on; only the node's own tasks touch it."""
+
+    record: MemberRecord
+    random: Random
+    store: BundleStore
+    admission: Admission
+    memo: FenceMemo
+    suspects: Suspects
+    ledger: AllowanceLedger
+    resends: ResendBucket
+    contexts: ContextRegistry
+    levels: LevelTable
+    view: View
+    failures: FailureTracker
+    pauses: PauseDetector
+    picker: Picker
+    ballots: Ballots
+    check: ArrivalCheck
+    target: Target
+
+
+def build_state(
+    *,
+    record: MemberRecord,
+    trusted: TrustedOperators,
+    random: Random,
+    now_ms: float,
+    policy: Callable[[], Policy | None],
+) -> NodeState:
+    """Return the state of a node that has just started and knows nothing.
+
+    Policies are the defaults until a bundle comes into force.
+    """
+    membership = MembershipPolicy()
+    suspects = Suspects(policy=QuarantinePolicy())
+    admission = Admission(slots=1, queue=1, policy=AdmissionPolicy())
+    memo = FenceMemo(
+        host=record.host,
+        incarnation=record.incarnation,
+        started_ms=now_ms,
+        policy=FencePolicy(),
+        max_entries=MEMO_MAX_ENTRIES,
+        max_bytes=MEMO_MAX_BYTES,
+    )
+    ledger = AllowanceLedger()
+    contexts = ContextRegistry()
+    view = View(self_record=record)
+    levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
+    check = ArrivalCheck(policy=policy, suspects=suspects)
+    target = Target(
+        host=record.host,
+        incarnation=record.incarnation,
+        admission=admission,
+        memo=memo,
+        suspects=suspects,
+        ledger=ledger,
+        contexts=contexts,
+        check=check,
+        fold_level=_level_folder(policy, levels),
+        list_age_ms=_list_age(view),
+    )
+    return NodeState(
+        record=record,
+        random=random,
+        store=BundleStore(trusted=trusted),
+        admission=admission,
+        memo=memo,
+        suspects=suspects,
+        ledger=ledger,
+        resends=ResendBucket(policy=RetryPolicy()),
+        contexts=contexts,
+        levels=levels,
+        view=view,
+        failures=FailureTracker(policy=membership),
+        pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
+        picker=Picker(
+            host=record.host,
+            availability_zone=record.availability_zone,
+            policy=RoutingPolicy(),
+            random=random,
+        ),
+        ballots=Ballots(host=record.host, incarnation=record.incarnation),
+        check=check,
+        target=target,
+    )
+
+
+def _level_folder(
+    policy: Callable[[], Policy | None], levels: LevelTable
+) -> Callable[[Instant, str, ShedLevel], ShedLevel]:
+    """Return the fold of a target's level with those of the routes that it calls.
+
+    So an entry node learns from one answer what any service on the path would shed.
+    """
+
+    def fold(at: Instant, route_name: str, own: ShedLevel) -> ShedLevel:
+        current = policy()
+        route = current.bundle.routes.get(route_name) if current else None
+        if route is None or not route.calls:
+            return own
+        return min(own, levels.strictest(at.now_ms, route.calls), NOTHING_SHED)
+
+    return fold
+
+
+def _list_age(view: View) -> Callable[[Instant], float]:
+    return lambda at: at.now_ms - view.changed_ms
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -122,7 +122,11 @@
 
 
 class Gossip(NamedTuple):
-    """News about members, with a digest of the sender's whole view."""
+    """News about members, with a digest of the sender's whole view.
+
+    ``platform_age_ms`` is how long ago the platform last answered anybody that the
+    sender heard of, or -1.
+    """
 
     view_digest: int
     records: tuple[MemberRecord, ...]
@@ -130,6 +134,7 @@
     bundle_version: int
     bundle_digest: bytes
     suspects: tuple[tuple[int, str, str, int], ...]
+    platform_age_ms: int = -1
 
 
 class Heartbeat(NamedTuple):
