--- /dev/null
+++ b/src/jacinthshed/internal/caller/caller.py
@@ -0,0 +1,254 @@
+"""The library through which an application sends its requests."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+import trio
+from returns.result import Failure, Result, Success
+
+from ..http.client import BackendPool
+from ..http.message import Header, Request, Response, header
+from ..http.network import Network, tcp_network
+from ..http.outcome import ExchangeFailed, Outcome
+from ..verdict import Reason, Refusal, Verdict
+from .answer import Answer
+from .entries import Entries
+from .key_record import KeyRecord
+from .key_store import KeyStore
+from .reading import read_response
+from .retry_bucket import RetryBucket
+from .submission import FENCE_FIELD, Draft, Submission
+
+DEFAULT_DEADLINE_MS = 10_000
+
+_IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
+_MAX_RESENDS = 2
+_RETRY_RATIO = 0.1
+_RETRY_BURST = 20
+_CONNECTIONS_PER_ENTRY = 256
+_MAX_ANSWER_BYTES = 16_777_216
+_RETRY_JITTER = 0.5
+# An entry that is silent for this share of the time left is given up for another.
+_PATIENCE = 0.5
+
+
+class Caller:
+    """Sends requests through any of ``entries``, the addresses of entry nodes.
+
+    Resends are bounded to a share of the fresh requests, and a request that is not
+    idempotent is only resent under its fence.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: Sequence[str],
+        network: Network | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._rng = rng if rng is not None else random.Random()
+        self._connect = (network or tcp_network()).connect
+        self._entries = Entries(addresses=entries, rng=self._rng)
+        self._keys = KeyStore(rng=self._rng)
+        self._bucket = RetryBucket(ratio=_RETRY_RATIO, burst=_RETRY_BURST)
+        self._pools: dict[str, BackendPool] = {}
+
+    def new_key(self) -> str:
+        """Return an idempotency key that was never used."""
+        return self._keys.new_key(trio.current_time())
+
+    def fence(self, key: str) -> str:
+        """Return the fence held for ``key``, empty when there is none."""
+        record = self._keys.record(key, trio.current_time(), first_use=False)
+        return record.fence
+
+    def hold_fence(self, key: str, fence: str) -> None:
+        """Take over a fence that the application kept from an earlier process."""
+        record = self._keys.record(key, trio.current_time(), first_use=False)
+        record.learn_fence(fence)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: Iterable[Header] = (),
+        body: bytes = b"",
+        key: str | None = None,
+        first_use: bool = False,
+        deadline_ms: float = DEFAULT_DEADLINE_MS,
+        idempotent: bool | None = None,
+    ) -> Result[Answer, Refusal]:
+        """Send a request and return its whole answer, or why there is none.
+
+        ``key`` names the request when it is not idempotent; without one, a new key is
+        used. Pass the same key to ask again after ``MAY_HAVE_RUN``. ``first_use``
+        promises that a key of the application's own was never sent by any process.
+        ``idempotent`` defaults to what the method says.
+        """
+        if idempotent is None:
+            idempotent = method.upper() in _IDEMPOTENT_METHODS
+        draft = Draft(
+            method.encode(),
+            path.encode(),
+            tuple((name.lower(), value) for name, value in headers),
+            body,
+            idempotent,
+        )
+        deadline_s = trio.current_time() + deadline_ms / 1_000
+        record = self._record(key, idempotent, first_use)
+        with trio.move_on_at(deadline_s) as waiting:
+            # Two copies at once would make each other's verdict worthless.
+            await record.lock.acquire()
+        if waiting.cancelled_caught:
+            return Failure(Refusal(record.local_verdict, Reason.DEADLINE))
+        try:
+            return await self._submit(draft, record, deadline_s)
+        finally:
+            record.lock.release()
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            await pool.close()
+
+    def _record(self, key: str | None, idempotent: bool, first_use: bool) -> KeyRecord:
+        if idempotent:
+            return KeyRecord(key=key or "", fenced=False, may_have_run=False)
+        if key is None:
+            key = self.new_key()
+        return self._keys.record(key, trio.current_time(), first_use=first_use)
+
+    async def _submit(
+        self, draft: Draft, record: KeyRecord, deadline_s: float
+    ) -> Result[Answer, Refusal]:
+        self._bucket.note_fresh_request()
+        submission = Submission(
+            draft=draft,
+            record=record,
+            deadline_s=deadline_s,
+            entries=self._entries.order(trio.current_time()),
+            resends=_MAX_RESENDS,
+        )
+        while True:
+            if submission.left_ms(trio.current_time()) <= 0:
+                return Failure(Refusal(record.local_verdict, Reason.DEADLINE))
+            result = await self._send_copy(submission)
+            if result is None:
+                continue
+            if not await self._waits_to_resend(submission, result):
+                return result
+
+    async def _send_copy(
+        self, submission: Submission
+    ) -> Result[Answer, Refusal] | None:
+        """Send one copy; return ``None`` when it never left and another entry is up."""
+        record = submission.record
+        may_have_run_before = record.may_have_run
+        request = submission.request(trio.current_time())
+        # Set before sending, so that it also holds when the application cancels.
+        record.may_have_run = True
+        outcome = await self._exchange(submission, request)
+        submission.lost_entry = isinstance(outcome, ExchangeFailed)
+        if isinstance(outcome, Response):
+            submission.unreached = 0
+            return _settled(outcome, record, may_have_run_before)
+        if not outcome.sent:
+            record.may_have_run = may_have_run_before
+        return self._turn_from_lost_entry(submission, outcome)
+
+    def _turn_from_lost_entry(
+        self, submission: Submission, outcome: ExchangeFailed
+    ) -> Result[Answer, Refusal] | None:
+        now_s = trio.current_time()
+        self._entries.note_failure(submission.entry, now_s)
+        submission.turn_to_next_entry()
+        submission.unreached += 1
+        if not outcome.sent and submission.unreached < len(submission.entries):
+            return None
+        is_late = submission.left_ms(now_s) <= 0
+        reason = Reason.DEADLINE if is_late else Reason.UNREACHABLE
+        verdict = submission.record.local_verdict
+        return Failure(Refusal(verdict, reason, detail=outcome.reason))
+
+    async def _exchange(self, submission: Submission, request: Request) -> Outcome:
+        record = submission.record
+        now_s = trio.current_time()
+        left_ms = submission.left_ms(now_s)
+        can_resend = submission.resends > 0 and self._bucket.has_token
+        patience_ms = left_ms * _PATIENCE
+        with trio.CancelScope() as scope:
+
+            async def learn_fence(interim: Response) -> None:
+                record.learn_fence(_fence(interim))
+                if can_resend and record.fence:
+                    scope.deadline = now_s + patience_ms / 1_000
+
+            return await self._pool(submission.entry).request(
+                request,
+                timeout_ms=(
+                    patience_ms if can_resend and submission.may_resend else left_ms
+                ),
+                max_body_bytes=_MAX_ANSWER_BYTES,
+                informational=learn_fence,
+            )
+        return ExchangeFailed(True, "the entry node is silent")
+
+    async def _waits_to_resend(
+        self, submission: Submission, result: Result[Answer, Refusal]
+    ) -> bool:
+        """Return whether to send another copy, after the wait that it needs."""
+        if isinstance(result, Success) or submission.resends <= 0:
+            return False
+        wait_ms = self._wait_before_resend_ms(submission, result.failure())
+        if wait_ms is None or wait_ms >= submission.left_ms(trio.current_time()):
+            return False
+        if not self._bucket.take():
+            return False
+        submission.resends -= 1
+        await trio.sleep(wait_ms / 1_000)
+        return True
+
+    def _wait_before_resend_ms(
+        self, submission: Submission, refusal: Refusal
+    ) -> float | None:
+        """Return the wait before another copy, or ``None`` when none may be sent."""
+        if refusal.verdict is not Verdict.NOT_RUN and not submission.may_resend:
+            return None
+        if refusal.retry_after_ms > 0:
+            return refusal.retry_after_ms * (1 + _RETRY_JITTER * self._rng.random())
+        sent_and_lost = submission.lost_entry and submission.record.may_have_run
+        return 0.0 if sent_and_lost else None
+
+    def _pool(self, address: str) -> BackendPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = BackendPool(
+                connect=self._connect,
+                address=address,
+                max_connections=_CONNECTIONS_PER_ENTRY,
+            )
+        return pool
+
+
+def _fence(response: Response) -> str:
+    return (header(response.headers, FENCE_FIELD) or b"").decode("latin-1")
+
+
+def _settled(
+    response: Response, record: KeyRecord, may_have_run_before: bool
+) -> Result[Answer, Refusal]:
+    """Return what ``response`` says about all copies that were sent."""
+    record.learn_fence(_fence(response))
+    result = read_response(response)
+    if isinstance(result, Success):
+        answer = result.unwrap()
+        verdict = record.settle(
+            answer.verdict, Reason.SHED, may_have_run_before=may_have_run_before
+        )
+        return Success(answer._replace(verdict=verdict))
+    refusal = result.failure()
+    verdict = record.settle(
+        refusal.verdict, refusal.reason, may_have_run_before=may_have_run_before
+    )
+    return Failure(refusal._replace(verdict=verdict))
--- /dev/null
+++ b/src/jacinthshed/internal/cli/call_command.py
@@ -0,0 +1,131 @@
+"""``jacinthshed call``: send one request through an entry node."""
+
+import sys
+from typing import Annotated, Any
+
+import msgspec
+import trio
+from cyclopts import Parameter
+from returns.result import Result, Success
+
+from ..caller.answer import Answer
+from ..caller.caller import DEFAULT_DEADLINE_MS, Caller
+from ..http.message import Header
+from ..http.network import split_address
+from ..verdict import Refusal
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+_FIRST_ERROR_STATUS = 400
+
+
+def call(
+    entry: str,
+    method: str,
+    path: str,
+    *,
+    key: str | None = None,
+    fence: str | None = None,
+    first_use: bool = False,
+    deadline_ms: int = DEFAULT_DEADLINE_MS,
+    idempotent: bool | None = None,
+    header: tuple[str, ...] = (),
+    body: str = "",
+    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+) -> int:
+    """Send one request through the entry node at ENTRY and print its answer.
+
+    Example: ``jacinthshed call 127.0.0.1:7000 POST /refunds/new --key kiosk-7-0041``
+
+    Parameters
+    ----------
+    entry
+        Address of an entry node, as IP:port.
+    method
+        HTTP method.
+    path
+        Path with its query.
+    key
+        Idempotency key. Use the same one to ask again after "may-have-run".
+    fence
+        Fence that an earlier call with this key printed.
+    first_use
+        Promise that this key was never sent before; saves a search for it.
+    deadline_ms
+        Time that the whole call may take, in milliseconds.
+    idempotent
+        Whether the request may safely run twice; by default the method decides.
+    header
+        A further header field as NAME:VALUE; may be given several times.
+    body
+        Body of the request.
+    as_json
+        Print one JSON object.
+    """
+    try:
+        split_address(entry)
+        fields = tuple(_header(item) for item in header)
+    except ValueError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+
+    async def run() -> tuple[Result[Answer, Refusal], str]:
+        caller = Caller(entries=[entry])
+        sent_key = key if key is not None else caller.new_key()
+        if fence is not None:
+            caller.hold_fence(sent_key, fence)
+        result = await caller.request(
+            method,
+            path,
+            headers=fields,
+            body=body.encode(),
+            key=sent_key,
+            first_use=first_use,
+            deadline_ms=deadline_ms,
+            idempotent=idempotent,
+        )
+        held = caller.fence(sent_key)
+        await caller.aclose()
+        return result, held
+
+    result, held = trio.run(run)
+    document = _document(result, held)
+    print(msgspec.json.encode(document).decode() if as_json else _text(document))
+    if isinstance(result, Success) and result.unwrap().status < _FIRST_ERROR_STATUS:
+        return EXIT_DONE
+    return EXIT_FAILED
+
+
+def _header(item: str) -> Header:
+    name, colon, value = item.partition(":")
+    if not name or not colon:
+        raise ValueError(f"{item!r} is no header field; write it as NAME:VALUE")
+    return name.strip().lower().encode(), value.strip().encode()
+
+
+def _document(result: Result[Answer, Refusal], fence: str) -> dict[str, Any]:
+    if isinstance(result, Success):
+        answer = result.unwrap()
+        return {
+            "status": answer.status,
+            "verdict": answer.verdict,
+            "request": answer.request_id,
+            "fence": fence,
+            "body": answer.body.decode(errors="replace"),
+        }
+    refusal = result.failure()
+    return {
+        "verdict": refusal.verdict,
+        "reason": refusal.reason,
+        "retry_after_ms": refusal.retry_after_ms,
+        "detail": refusal.detail,
+        "fence": fence,
+    }
+
+
+def _text(document: dict[str, Any]) -> str:
+    body = document.pop("body", None)
+    lines = [f"{name}: {value}" for name, value in document.items() if value != ""]
+    return "\n".join([*lines, "", body] if body else lines)
--- /dev/null
+++ b/tests/cover/test_caller.py
@@ -0,0 +1,153 @@
+import random
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given, settings, strategies as st
+from returns.result import Success
+
+from jacinthshed import Verdict
+from jacinthshed.internal.caller.caller import Caller
+from tests.common.entry import Fate, ScriptedEntry
+from tests.common.http import memory_network
+
+MAX_COPIES = 3
+
+
+def run_with_entry(entry, main):
+    """Run ``main(caller)`` against ``entry`` on two addresses and a dead third."""
+
+    async def all_of_it():
+        network = memory_network()
+        async with trio.open_nursery() as nursery:
+            for address in ("10.0.0.1:1", "10.0.0.2:1"):
+                await nursery.start(network.listen, address, entry.serve)
+            caller = Caller(
+                entries=["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"],
+                network=network,
+                rng=random.Random(1),
+            )
+            await main(caller)
+            nursery.cancel_scope.cancel()
+
+    trio.run(all_of_it, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def verdict_of(result):
+    if isinstance(result, Success):
+        return result.unwrap().verdict
+    return result.failure().verdict
+
+
+@settings(max_examples=300)
+@given(
+    script=st.lists(st.sampled_from(list(Fate)), max_size=8),
+    last=st.sampled_from([Fate.ANSWERED, Fate.TOMBSTONE]),
+)
+def test_a_key_runs_at_most_once_and_not_run_is_true(script, last):
+    entry = ScriptedEntry(script=script, last=last)
+
+    async def main(caller):
+        key = caller.new_key()
+        for _ in range(4):
+            copies = entry.copies
+            result = await caller.request("POST", "/refunds", key=key)
+            verdict = verdict_of(result)
+            assert entry.copies - copies <= MAX_COPIES
+            assert entry.runs <= 1
+            if verdict is Verdict.NOT_RUN:
+                entry.deliver_delayed()
+                assert entry.runs == 0
+            if verdict is Verdict.RAN:
+                assert entry.runs == 1
+
+    run_with_entry(entry, main)
+
+
+@pytest.mark.parametrize(
+    ("fate", "verdict", "copies"),
+    [
+        (Fate.ANSWERED, Verdict.RAN, 1),
+        (Fate.ANSWER_LOST, Verdict.RAN, 2),
+        (Fate.ALL_LOST, Verdict.MAY_HAVE_RUN, 1),
+        (Fate.NEVER_READ, Verdict.MAY_HAVE_RUN, 1),
+        (Fate.TOMBSTONE, Verdict.RAN, 2),
+        (Fate.REFUSED_HERE, Verdict.RAN, 2),
+    ],
+)
+def test_first_copy_of_a_new_key(fate, verdict, copies):
+    entry = ScriptedEntry(script=[fate])
+
+    async def main(caller):
+        result = await caller.request("POST", "/refunds")
+        assert verdict_of(result) is verdict
+
+    run_with_entry(entry, main)
+    assert entry.copies == copies
+
+
+def test_a_key_of_unknown_origin_is_never_called_new():
+    entry = ScriptedEntry(script=[])
+    entry.runs = 1  # By an earlier process of the application.
+
+    async def main(caller):
+        result = await caller.request("POST", "/refunds", key="kiosk-7-0041")
+        assert verdict_of(result) is Verdict.RAN
+        assert caller.fence("kiosk-7-0041") == "f0"
+
+    run_with_entry(entry, main)
+    assert entry.runs == 1
+
+
+def test_resends_of_many_requests_are_bounded_to_a_share():
+    entry = ScriptedEntry(script=[Fate.TOMBSTONE] * 10_000)
+    requests = 400
+
+    async def main(caller):
+        for _ in range(requests):
+            await caller.request("POST", "/refunds")
+
+    run_with_entry(entry, main)
+    assert entry.copies <= requests * 1.1 + 20
+
+
+def test_nothing_reachable_is_not_run():
+    async def main(caller):
+        result = await caller.request("POST", "/refunds", deadline_ms=500)
+        assert verdict_of(result) is Verdict.NOT_RUN
+
+    async def all_of_it():
+        caller = Caller(entries=["10.0.0.1:1"], network=memory_network())
+        await main(caller)
+
+    trio.run(all_of_it, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_silent_entry_is_left_for_another_in_time():
+    entry = ScriptedEntry(script=[])
+
+    async def main(caller):
+        caller._entries.note_failure("10.0.0.2:1", 1e9)
+        caller._entries.note_failure("10.0.0.3:1", 1e9)
+        started_s = trio.current_time()
+        result = await caller.request("GET", "/stock", deadline_ms=1_000)
+        assert verdict_of(result) is Verdict.RAN
+        assert trio.current_time() - started_s <= 0.5
+
+    async def silent(stream):
+        await trio.sleep_forever()
+
+    async def all_of_it():
+        network = memory_network()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(network.listen, "10.0.0.1:1", silent)
+            await nursery.start(network.listen, "10.0.0.2:1", entry.serve)
+            caller = Caller(
+                entries=["10.0.0.1:1", "10.0.0.2:1"],
+                network=network,
+                rng=random.Random(1),
+            )
+            await main(caller)
+            nursery.cancel_scope.cancel()
+
+    trio.run(all_of_it, clock=trio.testing.MockClock(autojump_threshold=0))
