Scripted entry: copies may be delayed over several others

Promising 'new' for a key that was sent went unnoticed before, as the delayed copy always arrived within the resends.

--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -21,7 +21,8 @@
     ANSWER_LOST = "runs, its fence is told, then the connection breaks"
     ALL_LOST = "runs, then the connection breaks before anything is told"
     NEVER_READ = "the connection breaks and the copy never runs"
-    DELAYED = "the connection breaks and the copy arrives after the next one"
+    DELAYED = "the connection breaks and the copy is on its way for long"
+    OVERTAKEN = "all copies that were on their way arrive before it"
     TOMBSTONE = "the target refuses it for good"
     REFUSED_HERE = "the entry node refuses this copy only"
 
@@ -76,8 +77,9 @@
         if fate is Fate.DELAYED:
             self.delayed.append(fence)
             raise trio.ClosedResourceError
+        if fate is Fate.OVERTAKEN:
+            self.deliver_delayed()
         has_run = self.arrive(fence, refuse=fate is Fate.TOMBSTONE)
-        self.deliver_delayed()
         if fate is Fate.ALL_LOST:
             raise trio.ClosedResourceError
         if not has_run:
