--- a/src/jacinthshed/internal/cli/app.py
+++ b/src/jacinthshed/internal/cli/app.py
@@ -2,7 +2,10 @@
 
 import cyclopts
 
+from .node_command import node
+
 app = cyclopts.App(name="jacinthshed", help="Overload control for call graphs.")
+app.command(node)
 
 EXIT_DONE = 0
 EXIT_REFUSED = 1
--- /dev/null
+++ b/src/jacinthshed/internal/cli/node_command.py
@@ -0,0 +1,25 @@
+"""``jacinthshed node``."""
+
+import sys
+from pathlib import Path
+
+from returns.result import Failure
+
+from ..node.daemon import run_daemon
+from ..settings.load import load_settings
+
+EXIT_FAILED = 1
+
+
+def node(*, settings: Path) -> int:
+    """Run one node beside its backend server.
+
+    Example: ``jacinthshed node --settings node.yaml``
+
+    :param settings: The node's settings file. It is read once, at the start.
+    """
+    loaded = load_settings(settings)
+    if isinstance(loaded, Failure):
+        print(loaded.failure(), file=sys.stderr)
+        return EXIT_FAILED
+    return run_daemon(loaded.unwrap())
--- a/src/jacinthshed/internal/flow/idempotent.py
+++ b/src/jacinthshed/internal/flow/idempotent.py
@@ -3,11 +3,11 @@
 from collections.abc import Generator
 
 from ..verdict import Refusal, Verdict
-from ..wire.frames import Cancel, Reply
+from ..wire.frames import Reply
 from .call import Attempt, Call
 from .replies import is_whole, refusal_of
 from .retry_rules import NO_TARGET, is_retryable, refusal_for_break, worst_verdict
-from .steps import Broken, CallEnd, Event, Exchange, Replied, Step, TakeBack, TimedOut
+from .steps import Broken, CallEnd, Event, Exchange, Replied, Step
 from .tools import CallTools
 
 CallFlow = Generator[Step, Event, CallEnd]
@@ -32,8 +32,6 @@
             tools.give_back(call, attempt_id, reply.allowance)
             if reply.status:
                 return CallEnd(reply, None)
-        if isinstance(event, TimedOut):
-            yield TakeBack(host, Cancel(attempt_id, "", ""))
         refusal = refusal_of(reply) if reply is not None else refusal_for_break(event)
         verdict = worst_verdict(verdict, refusal.verdict)
         tried |= {host}
--- a/src/jacinthshed/internal/flow/steps.py
+++ b/src/jacinthshed/internal/flow/steps.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..verdict import Refusal
-from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit
+from ..wire.frames import Reply, Revoke, Revoked, Submit
 
 
 class Ready(NamedTuple):
@@ -16,7 +16,10 @@
 
 
 class Exchange(NamedTuple):
-    """Submit to ``host``; ends with ``Replied``, ``Broken`` or ``TimedOut``."""
+    """Submit to ``host``; ends with ``Replied``, ``Broken`` or ``TimedOut``.
+
+    An unfenced attempt that is given up is taken back at its target.
+    """
 
     host: str
     submit: Submit
@@ -28,13 +31,6 @@
     asks: tuple[tuple[str, Revoke], ...]
 
 
-class TakeBack(NamedTuple):
-    """Send ``cancel`` to ``host`` without waiting; ends with ``Done``."""
-
-    host: str
-    cancel: Cancel
-
-
 class Announce(NamedTuple):
     """Tell the caller its fence ahead of the answer; ends with ``Done``."""
 
@@ -47,7 +43,7 @@
     wait_ms: float
 
 
-Step = Ready | Exchange | AskAll | TakeBack | Announce | Pause
+Step = Ready | Exchange | AskAll | Announce | Pause
 
 
 class LinkReady(NamedTuple):
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -79,7 +79,7 @@
         if known is not None:
             join(known, link, submit)
             return []
-        mark = fingerprint(submit.route, submit.body)
+        mark = _mark(submit)
         if submit.fence:
             # The memo comes before every other check, as a copy of a request that
             # is running has to find it even when new work is refused.
@@ -332,3 +332,12 @@
     def _forget(self, job: Job) -> None:
         self._jobs.remove(job)
         self._nested_ms.pop(job.submit.request_id, None)
+
+
+def _mark(submit: Submit) -> int:
+    return fingerprint(
+        route=submit.route,
+        method=submit.method,
+        target=submit.target,
+        body=submit.body,
+    )
--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -34,7 +34,7 @@
         self._address = address
         self._connect_timeout_s = connect_timeout_ms / _MS_PER_S
         self._idle_s = idle_ms / _MS_PER_S
-        self._free = trio.Semaphore(max_connections)
+        self._free = trio.CapacityLimiter(max_connections)
         self._idle: deque[ClientConnection] = deque()
         self._closed = False
 
@@ -56,6 +56,10 @@
             return await self._attempt(attempt, request, max_body_bytes, informational)
         return ExchangeFailed(attempt.sent, "timeout")
 
+    def resize(self, max_connections: int) -> None:
+        """Follow a new bound; connections above it end with their exchange."""
+        self._free.total_tokens = max_connections
+
     async def close(self) -> None:
         """Close the idle connections; those in use close when their exchange ends."""
         self._closed = True
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -9,8 +9,8 @@
 from ..flow.call import Attempt, Call, submit_frame
 from ..flow.policy import Policy
 from ..flow.tools import CallTools
-from ..quarantine.fingerprint import fingerprint
 from ..quarantine.decisions import Quarantined
+from ..quarantine.fingerprint import fingerprint
 from ..routing.rendezvous import home_order
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply, Submit
@@ -64,7 +64,7 @@
         return state.ledger.split(call.ledger_id, attempt_id, calls_others=below)
 
     def may_retry(call: Call) -> bool:
-        mark = fingerprint(call.route, call.body)
+        mark = _mark(call)
         if not state.suspects.may_retry(mark):
             return False
         return state.resends.try_resend(NODE_CALLER, clock.now_ms())
@@ -77,7 +77,7 @@
     def refuse(call: Call) -> Refusal | None:
         now_ms = clock.now_ms()
         state.resends.fresh(NODE_CALLER)
-        check = state.suspects.check(now_ms, fingerprint(call.route, call.body))
+        check = state.suspects.check(now_ms, _mark(call))
         if isinstance(check, Quarantined):
             retry_after_ms = check.retry_after_ms
             return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, retry_after_ms)
@@ -135,9 +135,7 @@
     )
 
 
-def make_observer(
-    *, state: NodeState, clock: Clock, call: Call
-) -> ExchangeObserver:
+def make_observer(*, state: NodeState, clock: Clock, call: Call) -> ExchangeObserver:
     """Return what learns loads and shed levels from the exchanges of ``call``."""
 
     def ended(host: str, reply: Reply | None) -> None:
@@ -152,3 +150,9 @@
             state.picker.refused(now_ms, host, reply.retry_after_ms)
 
     return ExchangeObserver(sent=state.picker.sent, ended=ended)
+
+
+def _mark(call: Call) -> int:
+    return fingerprint(
+        route=call.route, method=call.method, target=call.target, body=call.body
+    )
--- /dev/null
+++ b/src/jacinthshed/internal/node/daemon.py
@@ -0,0 +1,88 @@
+"""The node as a process: signals, logs, metrics and exit code."""
+
+import json
+import signal
+import sys
+from random import SystemRandom
+
+import trio
+
+from ..http.network import Network, tcp_network
+from ..settings.model import NodeSettings
+from ..telemetry.log import configure_logging, decision
+from ..telemetry.metrics import Metrics, send_metrics
+from .node import Node, NodeAddresses
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+
+
+def run_daemon(settings: NodeSettings) -> int:
+    """Run a node until it has left on SIGTERM or SIGINT; return the exit code."""
+    return trio.run(_run, settings)
+
+
+async def _run(settings: NodeSettings) -> int:
+    as_json = {"json": True, "human": False}.get(settings.logs.format)
+    sink = configure_logging(
+        level=settings.logs.level,
+        decision_share=settings.logs.sample,
+        as_json=as_json,
+    )
+    metrics = Metrics()
+    node = _node(settings, tcp_network(), metrics)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sink.run)
+        statsd = settings.metrics.statsd
+        if statsd is not None:
+            nursery.start_soon(_send_metrics, metrics, settings)
+        nursery.start_soon(_leave_on_signal, node)
+        code = await _serve(nursery, node)
+        nursery.cancel_scope.cancel()
+    return code
+
+
+def _node(settings: NodeSettings, network: Network, metrics: Metrics) -> Node:
+    return Node(
+        settings=settings,
+        trusted=settings.operators,
+        network=network,
+        random=SystemRandom(),
+        log=decision,
+        metrics=metrics,
+    )
+
+
+async def _serve(nursery: trio.Nursery, node: Node) -> int:
+    ended = trio.Event()
+
+    async def run(task_status: trio.TaskStatus[NodeAddresses]) -> None:
+        await node.run(task_status=task_status)
+        ended.set()
+
+    try:
+        addresses = await nursery.start(run)
+    except OSError as error:
+        print(
+            f"can't listen: {error}; change 'listen' in the settings", file=sys.stderr
+        )
+        return EXIT_FAILED
+    print(json.dumps(addresses._asdict()), flush=True)
+    await ended.wait()
+    return EXIT_DONE
+
+
+async def _leave_on_signal(node: Node) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            node.leave()
+
+
+async def _send_metrics(metrics: Metrics, settings: NodeSettings) -> None:
+    assert settings.metrics.statsd is not None
+    await send_metrics(
+        metrics,
+        host=settings.metrics.statsd.ip,
+        port=settings.metrics.statsd.port,
+        prefix=settings.metrics.prefix,
+    )
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -20,10 +20,9 @@
     Ready,
     Replied,
     Step,
-    TakeBack,
     TimedOut,
 )
-from ..wire.frames import Frame, Reply, Revoke, Revoked
+from ..wire.frames import Cancel, Frame, Reply, Revoke, Revoked
 from .clock import MS_PER_S
 from .link import Channel, LinkEvent, give_up_exchange
 from .links import LinkTable
@@ -78,11 +77,6 @@
     if isinstance(step, Pause):
         await trio.sleep(step.wait_ms / MS_PER_S)
         return Done()
-    if isinstance(step, TakeBack):
-        channel = links.to(step.host)
-        if channel is not None:
-            channel.send(step.cancel)
-        return Done()
     return await _ask_all(step, links)
 
 
@@ -103,6 +97,10 @@
     observer.sent(step.host)
     try:
         frame = await _ask(channel, step.submit.request_id, step.submit)
+    except trio.Cancelled:
+        if not step.submit.fence:
+            channel.send(Cancel(step.submit.request_id, "", ""))
+        raise
     finally:
         observer.ended(step.host, frame if isinstance(frame, Reply) else None)
     return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
--- /dev/null
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -0,0 +1,149 @@
+"""Hands each frame from a peer to the part of the node that it is for."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ..bundle.order import BundleOrder
+from ..fence.instant import Instant
+from ..flow.target import Target
+from ..wire.frames import (
+    BundleAsk,
+    BundleData,
+    Cancel,
+    Frame,
+    Gossip,
+    Hello,
+    Leaving,
+    Reply,
+    Revoke,
+    Revoked,
+    StatusAsk,
+    StatusData,
+    Submit,
+)
+from .clock import Clock
+from .dispatcher import Dispatcher
+from .link import Channel, finish_exchange
+from .membership_task import MembershipTask
+from .policy_holder import PolicyHolder
+
+BUNDLE_ASK_INTERVAL_MS = 300.0
+
+
+class FrameRouter:
+    """Owns no state but the time of the last question for a bundle.
+
+    ``bundle_document`` gives the signed bundle in force, ``status`` the node's status,
+    ``learn_suspect`` takes a peer's report.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        target: Target,
+        dispatcher: Dispatcher,
+        membership: MembershipTask,
+        holder: PolicyHolder,
+        bundle_document: Callable[[], bytes | None],
+        status: Callable[[], bytes],
+        learn_suspect: Callable[[tuple[int, str, str, int]], None],
+        count_unknown: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._target = target
+        self._dispatcher = dispatcher
+        self._membership = membership
+        self._holder = holder
+        self._bundle_document = bundle_document
+        self._status = status
+        self._learn_suspect = learn_suspect
+        self._count_unknown = count_unknown
+        self._asked_ms = float("-inf")
+        self._handlers: dict[type, Callable[[Channel, Any], None]] = {
+            Submit: self._on_submit,
+            Reply: self._on_answer,
+            Revoked: self._on_answer,
+            StatusData: self._on_answer,
+            Cancel: self._on_cancel,
+            Revoke: self._on_revoke,
+            Hello: self._on_hello,
+            Gossip: self._on_gossip,
+            Leaving: self._on_leaving,
+            BundleAsk: self._on_bundle_ask,
+            BundleData: self._on_bundle_data,
+            StatusAsk: self._on_status_ask,
+        }
+
+    def route(self, channel: Channel, frame: Frame) -> None:
+        """Handle ``frame``, which came on ``channel``."""
+        handler = self._handlers.get(type(frame))
+        if handler is None:
+            self._count_unknown()
+            return
+        handler(channel, frame)
+
+    def link_closed(self, number: int) -> None:
+        """Note that a link ended."""
+        self._dispatcher.perform(self._target.link_closed(self._at(), number))
+
+    def _on_submit(self, channel: Channel, submit: Submit) -> None:
+        order = BundleOrder(submit.bundle_version, submit.bundle_digest)
+        self._compare(channel, order)
+        actions = self._target.submit(self._at(), channel.number, submit)
+        self._dispatcher.perform(actions)
+
+    def _on_answer(self, channel: Channel, frame: Reply | Revoked | StatusData) -> None:
+        if not finish_exchange(channel, frame.request_id, frame):
+            self._count_unknown()
+
+    def _on_cancel(self, channel: Channel, cancel: Cancel) -> None:
+        actions = self._target.cancel(self._at(), channel.number, cancel)
+        self._dispatcher.perform(actions)
+
+    def _on_revoke(self, channel: Channel, revoke: Revoke) -> None:
+        actions = self._target.revoke(self._at(), channel.number, revoke)
+        self._dispatcher.perform(actions)
+
+    def _on_hello(self, channel: Channel, hello: Hello) -> None:
+        order = BundleOrder(hello.bundle_version, hello.bundle_digest)
+        self._compare(channel, order)
+        if hello.record.host:
+            self._membership.heard_hello(hello.record)
+
+    def _on_gossip(self, channel: Channel, gossip: Gossip) -> None:
+        order = BundleOrder(gossip.bundle_version, gossip.bundle_digest)
+        self._compare(channel, order)
+        for report in gossip.suspects:
+            self._learn_suspect(report)
+        self._membership.heard_gossip(channel, gossip)
+
+    def _on_leaving(self, channel: Channel, notice: Leaving) -> None:
+        self._membership.heard_leaving(notice)
+
+    def _on_bundle_ask(self, channel: Channel, ask: BundleAsk) -> None:
+        document = self._bundle_document()
+        above = BundleOrder(ask.above_version, ask.above_digest)
+        if document is not None and self._holder.order > above:
+            channel.send(BundleData(document))
+
+    def _on_bundle_data(self, channel: Channel, data: BundleData) -> None:
+        peer = channel.peer.record.host if channel.peer else ""
+        self._asked_ms = float("-inf")
+        self._holder.offer(data.document, f"peer {peer}")
+
+    def _on_status_ask(self, channel: Channel, ask: StatusAsk) -> None:
+        channel.send(StatusData(ask.request_id, self._status()))
+
+    def _compare(self, channel: Channel, order: BundleOrder) -> None:
+        """Pull the sender's bundle when it is above the one in force."""
+        own = self._holder.order
+        if order <= own:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms - self._asked_ms >= BUNDLE_ASK_INTERVAL_MS:
+            self._asked_ms = now_ms
+            channel.send(BundleAsk(own.version, own.digest))
+
+    def _at(self) -> Instant:
+        return Instant(self._clock.now_ms(), self._clock.wall_ms())
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -61,6 +61,7 @@
         links: LinkTable,
         tools: CallTools,
         is_leaving: Callable[[], bool],
+        confirmed: Callable[[], Awaitable[None]],
         on_nested_done: Callable[[str, float], None],
         observe: Callable[[Call], ExchangeObserver],
         log: LogDecision,
@@ -73,6 +74,7 @@
         self._links = links
         self._tools = tools
         self._is_leaving = is_leaving
+        self._confirmed = confirmed
         self._on_nested_done = on_nested_done
         self._observe = observe
         self._log = log
@@ -103,6 +105,7 @@
     async def _answer(
         self, request: Request, interim: Informational, parent: ParentContext | None
     ) -> Response:
+        await self._confirmed()
         policy = self._policy()
         request_id = f"{self._random.getrandbits(REQUEST_ID_BITS):016x}"
         if policy is None:
--- /dev/null
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -0,0 +1,194 @@
+"""Keeps the view of the members current and the links alive."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import trio
+
+from ..bundle.readers import PlatformReader
+from ..membership.failure import FailureTracker
+from ..membership.gossip import Gossiper
+from ..membership.host_list import ListedHost
+from ..membership.pause import PauseDetector
+from ..membership.record_order import LIVE
+from ..membership.view import View
+from ..wire.frames import Gossip, Leaving, MemberRecord
+from .clock import MS_PER_S, Clock
+from .link import Channel
+from .links import LinkTable
+
+TICK_MS = 100.0
+SEED_INTERVAL_MS = 1_000.0
+CONFIRM_TIMEOUT_MS = 300.0
+
+Outbox = list[tuple[str, Gossip]]
+LogDecision = Callable[..., None]
+
+
+class MembershipTask:
+    """Owns gossip, pause detection and the ticking of links.
+
+    ``on_members`` hears the services whose members changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: View,
+        gossiper: Gossiper,
+        failures: FailureTracker,
+        pauses: PauseDetector,
+        reader: PlatformReader,
+        links: LinkTable,
+        clock: Clock,
+        seeds: Sequence[str],
+        on_members: Callable[[Iterable[str]], None],
+        log: LogDecision,
+    ) -> None:
+        self._view = view
+        self._gossiper = gossiper
+        self._failures = failures
+        self._pauses = pauses
+        self._reader = reader
+        self._links = links
+        self._clock = clock
+        self._seeds = seeds
+        self._on_members = on_members
+        self._log = log
+        self._nursery: trio.Nursery | None = None
+        self._version = -1
+        self._confirmed = trio.Event()
+        self._confirmed.set()
+        self.seeded = trio.Event()
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._ask_seeds)
+            while True:
+                self._tick(self._clock.now_ms())
+                await trio.sleep(TICK_MS / MS_PER_S)
+
+    async def confirmed(self) -> None:
+        """Return at once, or after a pause when a peer has answered.
+
+        A process that slept acts on an old view. It waits for one answer, but not for
+        long, as it may be the only one that is left.
+        """
+        self._notice_pause(self._clock.now_ms())
+        if not self._confirmed.is_set():
+            with trio.move_on_after(CONFIRM_TIMEOUT_MS / MS_PER_S):
+                await self._confirmed.wait()
+            self._confirm()
+
+    def heard_hello(self, record: MemberRecord) -> None:
+        """Take in the record that a peer opened its link with."""
+        self._failures.reached(record.host)
+        now_ms = self._clock.now_ms()
+        changed = self._view.merge(now_ms, [record])
+        self._send(self._gossiper.announce(now_ms, changed))
+        self._publish_changes()
+
+    def heard_gossip(self, channel: Channel, gossip: Gossip) -> None:
+        """Take in a peer's gossip and answer it."""
+        if channel.peer is None:
+            return
+        now_ms = self._clock.now_ms()
+        sender = channel.peer.record.host
+        self._reader.heard(now_ms, gossip.platform_age_ms)
+        for host, answer in self._gossiper.receive(now_ms, sender, gossip):
+            if host == sender:
+                channel.send(answer)
+            else:
+                self._send([(host, answer)])
+        self._confirm()
+        self._publish_changes()
+
+    def heard_leaving(self, notice: Leaving) -> None:
+        """Take in a host's word that it takes no new work."""
+        now_ms = self._clock.now_ms()
+        changed = self._view.heard_leaving(now_ms, notice)
+        self._send(self._gossiper.announce(now_ms, changed))
+        self._publish_changes()
+
+    def heard_list(self, hosts: Sequence[ListedHost]) -> bool:
+        """Take in the platform's list; return whether it shows this host leaving."""
+        news = self._view.apply_host_list(self._clock.now_ms(), hosts)
+        for notice in news.notices:
+            channel = self._links.to(notice.host)
+            if channel is not None:
+                channel.send(notice)
+        self._publish_changes()
+        return news.own_leaving
+
+    def announce(self, record: MemberRecord) -> None:
+        """Spread a change of this node's own record, to all links at once."""
+        now_ms = self._clock.now_ms()
+        self._send(self._gossiper.announce(now_ms, [record]))
+        for link in self._links.streams():
+            link.send(Leaving(record.host, record.incarnation))
+
+    def failed(self, host: str) -> None:
+        """Note that a link to ``host`` could not be opened."""
+        self._failures.failed(self._clock.now_ms(), host)
+
+    def _tick(self, now_ms: float) -> None:
+        self._notice_pause(now_ms)
+        for link in self._links.streams():
+            link.tick(now_ms)
+        for host in self._failures.gone_hosts(now_ms, self._view):
+            self._log("member_gone", host=host)
+            changed = self._view.declare_gone(now_ms, host)
+            self._send(self._gossiper.announce(now_ms, changed))
+        self._send(self._gossiper.tick(now_ms))
+        self._publish_changes()
+
+    def _notice_pause(self, now_ms: float) -> None:
+        pause = self._pauses.tick(now_ms, self._clock.wall_ms())
+        if pause is None:
+            return
+        self._log("pause_noticed", length_ms=round(pause.length_ms))
+        self._confirmed = trio.Event()
+        self._send(self._gossiper.reconfirm(now_ms))
+
+    def _confirm(self) -> None:
+        self._pauses.confirm()
+        self._confirmed.set()
+
+    def _send(self, outbox: Outbox) -> None:
+        for host, gossip in outbox:
+            channel = self._links.to(host)
+            if channel is not None:
+                channel.send(gossip)
+            elif self._nursery is not None and self._may_try(host):
+                self._nursery.start_soon(self._send_by_new_link, host, gossip)
+
+    def _may_try(self, host: str) -> bool:
+        return self._failures.may_probe(self._clock.now_ms(), host)
+
+    async def _send_by_new_link(self, host: str, gossip: Gossip) -> None:
+        channel = await self._links.open(host)
+        if channel is not None:
+            channel.send(gossip)
+
+    async def _ask_seeds(self) -> None:
+        """Open a link to each seed, again and again until one has answered."""
+        while not self._gossiper.is_joined:
+            async with trio.open_nursery() as nursery:
+                for seed in self._seeds:
+                    nursery.start_soon(self._links.open_address, seed)
+            self.seeded.set()
+            await trio.sleep(SEED_INTERVAL_MS / MS_PER_S)
+
+    def _publish_changes(self) -> None:
+        if self._view.version == self._version:
+            return
+        self._version = self._view.version
+        now_ms = self._clock.now_ms()
+        for record in self._view.recent(len(self._view.records())):
+            if record.state == LIVE:
+                zone = record.availability_zone
+                self._reader.member_up(now_ms, record.host, zone)
+            else:
+                self._reader.member_down(now_ms, record.host)
+        self._on_members(self._view.services())
--- /dev/null
+++ b/src/jacinthshed/internal/node/node.py
@@ -0,0 +1,325 @@
+"""One node: its listeners, its tasks and its graceful shutdown."""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import trio
+
+from ..bundle.model import DrainPolicy, ReaderPolicy
+from ..bundle.readers import PlatformReader
+from ..bundle.signing import TrustedOperators
+from ..http.drain import Drain
+from ..http.limits import HttpLimits
+from ..http.network import Network, StreamHandler
+from ..http.server import RequestHandler, serve_connection
+from ..membership.host_list import ListedHost, should_leave
+from ..membership.record_order import LIVE
+from ..platform.adapter import Platform, http_platform
+from ..platform.hosts import HostState, parse_hosts
+from ..settings.address import Address
+from ..settings.model import NodeSettings
+from ..telemetry.metrics import Metrics
+from ..wire.frames import MemberRecord
+from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
+from .parts import NodeParts, Surroundings, build_parts
+from .platform_task import PlatformTask
+from .policy_holder import PolicyHolder
+from .state import build_state
+
+BOOTSTRAP_TIMEOUT_S = 2.0
+BOOTSTRAP_SETTLE_S = 0.2
+LEAVE_GRACE_S = 0.5
+DRAIN_POLL_S = 0.02
+FLUSH_TIMEOUT_S = 1.0
+BACKEND_CHECK_TIMEOUT_S = 0.2
+
+LogDecision = Callable[..., None]
+
+
+class NodeAddresses(NamedTuple):
+    """The addresses that a node's listeners have."""
+
+    entry: str
+    egress: str
+    peer: str
+
+
+class Node:
+    """Runs beside one backend server, or by itself as an entry only."""
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        trusted: TrustedOperators,
+        network: Network,
+        random: Random,
+        log: LogDecision,
+        clock: Clock = SYSTEM_CLOCK,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._settings = settings
+        self._trusted = trusted
+        self._network = network
+        self._random = random
+        self._log = log
+        self._clock = clock
+        self._metrics = metrics or Metrics()
+        self._started_ms = clock.now_ms()
+        self._parts: NodeParts | None = None
+        self._wired = trio.Event()
+        self._leave_asked = trio.Event()
+        self._entry_drain = Drain()
+        # The egress is never drained: a request that runs here may still need it.
+        self._egress_drain = Drain()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the node has begun to leave."""
+        return self._leave_asked.is_set()
+
+    def leave(self) -> None:
+        """Begin a graceful shutdown; ``run`` returns at its end."""
+        self._leave_asked.set()
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[NodeAddresses] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until the node has left; reports its addresses when it listens.
+
+        Raises ``OSError`` when an address can't be listened on.
+        """
+        listen = self._settings.listen
+        async with trio.open_nursery() as nursery:
+            peer: str = await nursery.start(
+                self._listen, str(listen.peer), self._accept_peer
+            )
+            parts = self._build(peer)
+            entry = await self._serve_http(nursery, listen.entry, self._serve_entry)
+            egress = await self._serve_http(nursery, listen.egress, self._serve_egress)
+            self._start_tasks(nursery, parts)
+            await self._bootstrap(nursery, parts)
+            task_status.started(NodeAddresses(entry, egress, peer))
+            await self._leave_asked.wait()
+            await self._shut_down(parts)
+            nursery.cancel_scope.cancel()
+
+    def _build(self, peer_address: str) -> NodeParts:
+        settings = self._settings
+        wall_ms = self._clock.wall_ms()
+        record = MemberRecord(
+            host=settings.host,
+            incarnation=wall_ms,
+            state=LIVE,
+            revision=0,
+            service=settings.service,
+            availability_zone=settings.availability_zone,
+            peer_address=peer_address,
+            started_ms=wall_ms,
+        )
+        holder_box: list[PolicyHolder] = []
+        state = build_state(
+            record=record,
+            trusted=self._trusted,
+            random=self._random,
+            now_ms=self._started_ms,
+            policy=lambda: holder_box[0].current(),
+        )
+        holder = PolicyHolder(store=state.store, log=self._log)
+        holder_box.append(holder)
+        self._reader = self._build_reader()
+        around = Surroundings(
+            settings=settings,
+            network=self._network,
+            clock=self._clock,
+            metrics=self._metrics,
+            log=self._log,
+            is_leaving=lambda: self.is_leaving,
+            is_backend_up=self._is_backend_up,
+        )
+        parts = build_parts(
+            around=around, state=state, holder=holder, reader=self._reader
+        )
+        self._parts = parts
+        self._wired.set()
+        return parts
+
+    def _build_reader(self) -> PlatformReader:
+        platform = self._settings.platform
+        keys = (platform.bundle_key, platform.hosts_key) if platform else ()
+        return PlatformReader(
+            host=self._settings.host,
+            availability_zone=self._settings.availability_zone,
+            policy=ReaderPolicy(),
+            keys=keys,
+            random=self._random,
+            now_ms=self._clock.now_ms(),
+        )
+
+    def _start_tasks(self, nursery: trio.Nursery, parts: NodeParts) -> None:
+        parts.links.start(nursery)
+        parts.dispatcher.start(nursery)
+        nursery.start_soon(parts.dispatcher.expire_waiting)
+        nursery.start_soon(parts.membership.run)
+
+    async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
+        """Hear peers and the platform before serving, but not for ever.
+
+        The platform may be stale, so that its bundle is put in force only when the
+        peers had their chance to show a higher one.
+        """
+        tasks = self._platform_tasks(parts)
+        for task in tasks:
+            nursery.start_soon(task.run)
+        with trio.move_on_after(BOOTSTRAP_TIMEOUT_S):
+            for task in tasks:
+                await task.tried.wait()
+            await parts.membership.seeded.wait()
+            await trio.sleep(BOOTSTRAP_SETTLE_S)
+        parts.holder.begin_serving()
+        self._log("serving", host=self._settings.host, version=parts.holder.order[0])
+
+    def _platform_tasks(self, parts: NodeParts) -> list[PlatformTask]:
+        settings = self._settings.platform
+        if settings is None:
+            return []
+
+        async def connect(address: Address) -> trio.abc.Stream:
+            return await self._network.connect(str(address))
+
+        platform = http_platform(address=settings.address, connect=connect)
+
+        def take_bundle(value: bytes) -> None:
+            parts.holder.offer(value, "platform")
+
+        return [
+            self._platform_task(parts, platform, settings.bundle_key, take_bundle),
+            self._platform_task(
+                parts, platform, settings.hosts_key, self._take_host_list
+            ),
+        ]
+
+    def _platform_task(
+        self,
+        parts: NodeParts,
+        platform: Platform,
+        key: str,
+        on_value: Callable[[bytes], None],
+    ) -> PlatformTask:
+        def watch_ms() -> int:
+            policy = parts.holder.current()
+            return (policy.bundle.readers if policy else ReaderPolicy()).watch_ms
+
+        return PlatformTask(
+            platform=platform,
+            key=key,
+            reader=self._reader,
+            clock=self._clock,
+            watch_ms=watch_ms,
+            on_value=on_value,
+            log=self._log,
+        )
+
+    def _take_host_list(self, value: bytes) -> None:
+        parsed = parse_hosts(value).value_or(None)
+        if parsed is None or self._parts is None:
+            self._log("host_list_refused", reason="not a JSON list of hosts")
+            return
+        listed = [
+            ListedHost(
+                host=host.host,
+                service=host.service,
+                availability_zone=host.availability_zone,
+                peer_address=str(host.peer_address),
+                leaving=host.state is HostState.LEAVING,
+            )
+            for host in parsed.hosts
+        ]
+        own_leaving = self._parts.membership.heard_list(listed)
+        uptime_ms = self._clock.now_ms() - self._started_ms
+        if own_leaving and should_leave(uptime_ms):
+            self._log("leaving", reason="the platform's list shows this host leaving")
+            self.leave()
+
+    async def _shut_down(self, parts: NodeParts) -> None:
+        """Leave without cutting a request: tell, wait until peers know, finish."""
+        self._log("leaving", host=self._settings.host)
+        parts.membership.announce(parts.state.view.leave(self._clock.now_ms()))
+        # Peers learn of the leave in these moments; what they still send is served.
+        await trio.sleep(LEAVE_GRACE_S)
+        parts.state.check.refuse_new_work()
+        self._entry_drain.start()
+        policy = parts.holder.current()
+        limit_ms = (policy.bundle.drain if policy else DrainPolicy()).limit_ms
+        with trio.move_on_after(limit_ms / MS_PER_S):
+            while parts.state.target.jobs or parts.gateway.in_flight:
+                await trio.sleep(DRAIN_POLL_S)
+        parts.membership.announce(parts.state.view.exit(self._clock.now_ms()))
+        with trio.move_on_after(FLUSH_TIMEOUT_S):
+            for link in parts.links.streams():
+                await link.flushed()
+        self._log("left", host=self._settings.host)
+
+    async def _accept_peer(self, stream: trio.abc.Stream) -> None:
+        await self._wired.wait()
+        assert self._parts is not None
+        await self._parts.links.accept(stream)
+
+    async def _serve_entry(self, stream: trio.abc.Stream) -> None:
+        assert self._parts is not None
+        handler = self._parts.gateway.serve_entry
+        await self._serve(stream, handler, self._entry_drain)
+
+    async def _serve_egress(self, stream: trio.abc.Stream) -> None:
+        assert self._parts is not None
+        handler = self._parts.gateway.serve_egress
+        await self._serve(stream, handler, self._egress_drain)
+
+    async def _serve(
+        self, stream: trio.abc.Stream, handler: RequestHandler, drain: Drain
+    ) -> None:
+        http = self._settings.http
+        limits = HttpLimits(
+            head_bytes=http.head_bytes, idle_ms=http.idle_ms, read_ms=http.read_ms
+        )
+        await serve_connection(
+            stream,
+            handler,
+            limits=limits,
+            drain=drain,
+            cancel_on_disconnect=True,
+        )
+
+    async def _serve_http(
+        self,
+        nursery: trio.Nursery,
+        address: Address,
+        handler: StreamHandler,
+    ) -> str:
+        bound: str = await nursery.start(self._listen, str(address), handler)
+        return bound
+
+    async def _listen(
+        self,
+        address: str,
+        handler: StreamHandler,
+        *,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await self._network.listen(address, handler, task_status=task_status)
+
+    async def _is_backend_up(self) -> bool:
+        backend = self._settings.backend
+        if backend is None:
+            return False
+        with trio.move_on_after(BACKEND_CHECK_TIMEOUT_S):
+            try:
+                stream = await self._network.connect(str(backend.address))
+            except (OSError, trio.BrokenResourceError):
+                return False
+            await trio.aclose_forcefully(stream)
+            return True
+        return False
--- /dev/null
+++ b/src/jacinthshed/internal/node/parts.py
@@ -0,0 +1,254 @@
+"""The parts of one node, built and wired to each other."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple
+
+from ..bundle.model import MembershipPolicy, SizeLimits
+from ..bundle.readers import PlatformReader
+from ..fence.fence import decode_fence
+from ..flow.call import Call
+from ..flow.tools import CallTools
+from ..http.client import BackendPool
+from ..http.network import Network
+from ..membership.gossip import Gossiper
+from ..settings.model import NodeSettings
+from ..telemetry.metrics import Metrics
+from ..wire.codec import PROTOCOL_VERSION
+from ..wire.frames import Frame, Hello
+from .call_tools import make_observer, make_tools
+from .clock import Clock
+from .dispatcher import Dispatcher
+from .frame_router import FrameRouter
+from .gateway import Gateway
+from .link import Channel
+from .links import LinkTable
+from .local_link import LocalLink
+from .membership_task import MembershipTask
+from .observer import ExchangeObserver
+from .policy_follower import PolicyFollower
+from .policy_holder import PolicyHolder
+from .state import NodeState
+from .status import status_document
+
+BACKEND_CONNECTIONS = 64
+
+LogDecision = Callable[..., None]
+
+
+class NodeParts(NamedTuple):
+    """What the tasks of a node run."""
+
+    state: NodeState
+    holder: PolicyHolder
+    links: LinkTable
+    membership: MembershipTask
+    dispatcher: Dispatcher
+    gateway: Gateway
+    pool: BackendPool
+
+
+class Surroundings(NamedTuple):
+    """What the parts of a node get from outside."""
+
+    settings: NodeSettings
+    network: Network
+    clock: Clock
+    metrics: Metrics
+    log: LogDecision
+    is_leaving: Callable[[], bool]
+    is_backend_up: Callable[[], Awaitable[bool]]
+
+
+class _Wiring:
+    """Breaks the circle between links and the router of their frames."""
+
+    router: FrameRouter
+
+    def on_frame(self, channel: Channel, frame: Frame) -> None:
+        self.router.route(channel, frame)
+
+    def on_closed(self, number: int) -> None:
+        self.router.link_closed(number)
+
+
+def build_parts(
+    *,
+    around: Surroundings,
+    state: NodeState,
+    holder: PolicyHolder,
+    reader: PlatformReader,
+) -> NodeParts:
+    """Return the parts of a node; none of their tasks runs yet."""
+    wiring = _Wiring()
+    links = _build_links(around, state, holder, wiring)
+    pool = _build_pool(around)
+    dispatcher = Dispatcher(
+        target=state.target,
+        pool=pool,
+        links=links,
+        clock=around.clock,
+        sizes=lambda: _sizes(holder),
+        fence_left_ms=lambda token: _fence_left_ms(around.clock, token),
+        is_backend_up=around.is_backend_up,
+    )
+    follower = PolicyFollower(
+        state=state,
+        reader=reader,
+        pool=pool,
+        perform=dispatcher.perform,
+        clock=around.clock,
+    )
+    holder.follow(follower.follow)
+    membership = _build_membership(around, state, holder, reader, links, follower)
+    gateway = _build_gateway(around, state, holder, links, membership)
+    wiring.router = FrameRouter(
+        clock=around.clock,
+        target=state.target,
+        dispatcher=dispatcher,
+        membership=membership,
+        holder=holder,
+        bundle_document=lambda: state.store.current and state.store.current.data,
+        status=lambda: status_document(
+            state, holder, leaving=around.is_leaving(), in_flight=gateway.in_flight
+        ),
+        learn_suspect=lambda report: state.suspects.learn(
+            around.clock.now_ms(), report
+        ),
+        count_unknown=lambda: around.metrics.increment("frames.unknown"),
+    )
+    return NodeParts(state, holder, links, membership, dispatcher, gateway, pool)
+
+
+def _build_links(
+    around: Surroundings, state: NodeState, holder: PolicyHolder, wiring: _Wiring
+) -> LinkTable:
+    def hello() -> Hello:
+        order = holder.order
+        record = state.view.self_record
+        return Hello(PROTOCOL_VERSION, record, order.version, order.digest)
+
+    def address_of(host: str) -> str | None:
+        record = state.view.get(host)
+        if record is not None:
+            return record.peer_address
+        listed = [c for c in state.view.contacts() if c.host == host]
+        return listed[0].peer_address if listed else None
+
+    def failed(host: str) -> None:
+        now_ms = around.clock.now_ms()
+        state.failures.failed(now_ms, host)
+        state.picker.unreachable(now_ms, host)
+
+    links = LinkTable(
+        connect=around.network.connect,
+        clock=around.clock,
+        policy=lambda: _membership_policy(holder),
+        hello=hello,
+        address_of=address_of,
+        on_frame=wiring.on_frame,
+        on_closed=wiring.on_closed,
+        on_failed=failed,
+        on_reached=state.failures.reached,
+    )
+    local = LocalLink(hello=hello(), on_frame=wiring.on_frame)
+    links.add_local(local, state.record.host)
+    return links
+
+
+def _build_pool(around: Surroundings) -> BackendPool:
+    backend = around.settings.backend
+    return BackendPool(
+        connect=around.network.connect,
+        address=str(backend.address) if backend else "",
+        max_connections=BACKEND_CONNECTIONS,
+    )
+
+
+def _build_membership(
+    around: Surroundings,
+    state: NodeState,
+    holder: PolicyHolder,
+    reader: PlatformReader,
+    links: LinkTable,
+    follower: PolicyFollower,
+) -> MembershipTask:
+    clock = around.clock
+
+    def platform_age_ms() -> int:
+        age_ms = reader.age_ms(clock.now_ms())
+        return -1 if age_ms is None else int(age_ms)
+
+    def linked() -> list[str]:
+        peers = [link.peer for link in links.streams()]
+        return [peer.record.host for peer in peers if peer and peer.record.host]
+
+    def publish(services: Iterable[str]) -> None:
+        for service in services:
+            follower.members_changed(service)
+
+    gossiper = Gossiper(
+        view=state.view,
+        policy=_membership_policy(holder),
+        random=state.random,
+        bundle_order=lambda: holder.order,
+        suspects=lambda: state.suspects.reports(clock.now_ms()),
+        platform_age_ms=platform_age_ms,
+        linked=linked,
+        is_reachable=state.failures.is_reachable,
+    )
+    return MembershipTask(
+        view=state.view,
+        gossiper=gossiper,
+        failures=state.failures,
+        pauses=state.pauses,
+        reader=reader,
+        links=links,
+        clock=clock,
+        seeds=[str(seed) for seed in around.settings.seeds],
+        on_members=publish,
+        log=around.log,
+    )
+
+
+def _build_gateway(
+    around: Surroundings,
+    state: NodeState,
+    holder: PolicyHolder,
+    links: LinkTable,
+    membership: MembershipTask,
+) -> Gateway:
+    def observe(call: Call) -> ExchangeObserver:
+        return make_observer(state=state, clock=around.clock, call=call)
+
+    tools: CallTools = make_tools(
+        state=state, clock=around.clock, policy=holder.current, log=around.log
+    )
+    return Gateway(
+        clock=around.clock,
+        random=state.random,
+        policy=holder.current,
+        ledger=state.ledger,
+        contexts=state.contexts,
+        links=links,
+        tools=tools,
+        is_leaving=around.is_leaving,
+        confirmed=membership.confirmed,
+        on_nested_done=state.target.add_nested_ms,
+        observe=observe,
+        log=around.log,
+    )
+
+
+def _membership_policy(holder: PolicyHolder) -> MembershipPolicy:
+    policy = holder.current()
+    return policy.bundle.membership if policy else MembershipPolicy()
+
+
+def _sizes(holder: PolicyHolder) -> SizeLimits:
+    policy = holder.current()
+    return policy.bundle.sizes if policy else SizeLimits()
+
+
+def _fence_left_ms(clock: Clock, token: str) -> float:
+    fence = decode_fence(token).value_or(None)
+    return max(0.0, fence.expires_ms - clock.wall_ms()) if fence else 0.0
--- /dev/null
+++ b/src/jacinthshed/internal/node/policy_follower.py
@@ -0,0 +1,69 @@
+"""Makes the state of a node follow the bundle in force."""
+
+from collections.abc import Callable
+
+from ..bundle.readers import PlatformReader
+from ..fence.instant import Instant
+from ..flow.actions import TargetAction
+from ..flow.policy import Policy
+from ..http.client import BackendPool
+from ..routing.subset import subset
+from .clock import Clock
+from .state import NodeState
+
+DEFAULT_SUBSET = 6
+
+
+class PolicyFollower:
+    """Hands each new policy to the parts that hold sizes and times of it."""
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        reader: PlatformReader,
+        pool: BackendPool,
+        perform: Callable[[list[TargetAction]], None],
+        clock: Clock,
+    ) -> None:
+        self._state = state
+        self._reader = reader
+        self._pool = pool
+        self._perform = perform
+        self._clock = clock
+        self._subset = DEFAULT_SUBSET
+
+    def follow(self, policy: Policy) -> None:
+        """Put ``policy`` in force."""
+        at = Instant(self._clock.now_ms(), self._clock.wall_ms())
+        bundle = policy.bundle
+        state = self._state
+        state.memo.set_policy(at, bundle.fence)
+        state.suspects.set_policy(bundle.quarantine)
+        self._reader.policy_changed(at.now_ms, bundle.readers)
+        self._subset = bundle.routing.subset
+        for service in state.view.services():
+            self.members_changed(service)
+        self._resize(at, policy)
+
+    def members_changed(self, service: str) -> None:
+        """Choose the targets of ``service`` that this node keeps links to."""
+        state = self._state
+        record = state.record
+        members = state.view.members(service)
+        chosen = subset(record.host, record.availability_zone, members, self._subset)
+        now_ms = self._clock.now_ms()
+        state.picker.set_members(now_ms, service, (*chosen.local, *chosen.spill))
+
+    def _resize(self, at: Instant, policy: Policy) -> None:
+        sizes = policy.bundle.services.get(self._state.record.service)
+        if sizes is None:
+            return
+        self._pool.resize(sizes.connections)
+        decisions = self._state.admission.resize(
+            at.now_ms,
+            slots=sizes.slots,
+            queue=sizes.queue,
+            policy=policy.bundle.admission,
+        )
+        self._perform(self._state.target.resized(at, decisions))
--- /dev/null
+++ b/src/jacinthshed/internal/node/status.py
@@ -0,0 +1,44 @@
+"""What a node tells of itself."""
+
+from typing import Any
+
+import msgspec
+
+from .policy_holder import PolicyHolder
+from .state import NodeState
+
+
+def status_document(
+    state: NodeState, holder: PolicyHolder, *, leaving: bool, in_flight: int
+) -> bytes:
+    """Return the node's status as a JSON document."""
+    policy = holder.current()
+    document: dict[str, Any] = {
+        "host": state.record.host,
+        "incarnation": state.record.incarnation,
+        "service": state.record.service,
+        "availability_zone": state.record.availability_zone,
+        "state": "leaving" if leaving else "live",
+        "serving": policy is not None,
+        "bundle": {
+            "version": holder.order.version,
+            "digest": holder.order.digest.hex(),
+            "clashes": [
+                {"version": clash.version, "source": clash.source}
+                for clash in state.store.clashes
+            ],
+        },
+        "members": {
+            service: [member.host for member in state.view.members(service)]
+            for service in state.view.services()
+        },
+        "admission": {
+            "limit": state.admission.limit,
+            "running": state.admission.in_flight,
+            "waiting": state.admission.waiting,
+        },
+        "calls_in_flight": in_flight,
+        "fences": state.memo.sizes,
+        "suspects": len(state.suspects),
+    }
+    return msgspec.json.encode(document)
