--- a/src/jacinthshed/internal/http/head.py
+++ b/src/jacinthshed/internal/http/head.py
@@ -13,6 +13,7 @@
 
 _CONTENT_LENGTH_LINE = b"\ncontent-length:"
 _MAX_LENGTH_DIGITS = 15
+_VERSIONS = (b"1.0", b"1.1")
 
 
 def check_start(received: bytearray) -> None:
@@ -38,7 +39,7 @@
     try:
         event = connection.next_event()
     except h11.RemoteProtocolError as error:
-        raise BadRequestError(error.error_status_hint, str(error)) from error
+        raise BadRequestError(400, str(error)) from error
     if type(event) is not h11.Request:
         raise BadRequestError(400, "send a request line and header fields")
     _check_request(event)
@@ -75,6 +76,8 @@
 
 
 def _check_request(event: h11.Request) -> None:
+    if event.http_version not in _VERSIONS:
+        raise BadRequestError(400, "use HTTP/1.1")
     target = event.target
     if not target.startswith(b"/") or b"#" in target:
         raise BadRequestError(400, "write the request target as an absolute path")
--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -119,15 +119,21 @@
 
     async def _read_chunked(self, connection: h11.Connection) -> bytes:
         body = bytearray()
+        raw = bytearray()
         while True:
-            received = bytes(self._received)
-            self._received.clear()
-            if received:
-                connection.receive_data(received)
+            raw += self._received
+            if self._received:
+                connection.receive_data(self._take(len(self._received)))
+            if len(raw) > self._limits.body_bytes * 2 + _RECEIVE_BYTES:
+                raise self._too_large()
             if self._add_chunks(connection, body):
-                self._received += connection.trailing_data[0]
-                return bytes(body)
+                break
             await self._receive_more()
+        self._received += connection.trailing_data[0]
+        # The library takes a bare LF for the blank line after the last chunk.
+        if not raw.endswith(HEAD_END, 0, len(raw) - len(self._received)):
+            raise BadRequestError(400, "end the last chunk with CR LF")
+        return bytes(body)
 
     def _add_chunks(self, connection: h11.Connection, body: bytearray) -> bool:
         """Add the chunks at hand to ``body``; return whether it is whole."""
@@ -137,6 +143,8 @@
             except h11.RemoteProtocolError as error:
                 raise BadRequestError(400, str(error)) from error
             if type(event) is h11.EndOfMessage:
+                if event.headers:
+                    raise BadRequestError(400, "send no trailer fields")
                 return True
             if type(event) is not h11.Data:
                 return False
