--- /dev/null
+++ b/tests/cover/test_http_drain.py
@@ -0,0 +1,99 @@
+import trio
+import trio.testing
+
+from jacinthshed.internal.http.drain import Drain
+from jacinthshed.internal.http.limits import HttpLimits
+from jacinthshed.internal.http.message import Response
+from jacinthshed.internal.http.server import serve_connection
+from tests.common.http import receive_all
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def test_a_drain_finishes_the_request_in_hand_and_closes_idle_connections():
+    async def slow(request, informational):
+        await trio.sleep(5)
+        return Response(200, body=b"whole")
+
+    async def main():
+        drain = Drain()
+        busy, busy_end = trio.testing.memory_stream_pair()
+        idle, idle_end = trio.testing.memory_stream_pair()
+
+        async def serve(stream):
+            await serve_connection(stream, slow, limits=HttpLimits(), drain=drain)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, busy_end)
+            nursery.start_soon(serve, idle_end)
+            await busy.send_all(REQUEST + REQUEST)
+            await trio.sleep(1)
+            drain.start()
+            started_s = trio.current_time()
+            assert await receive_all(idle) == b""
+            assert trio.current_time() - started_s < 0.1
+            received = await receive_all(busy)
+            assert trio.current_time() - started_s < 4.1
+        assert received.count(b"HTTP/1.1 200") == 1
+        assert received.endswith(b"whole")
+        assert b"connection: close\r\n" in received
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_handler_is_cancelled_when_its_client_closes():
+    cancelled = []
+
+    async def slow(request, informational):
+        try:
+            await trio.sleep_forever()
+        except trio.Cancelled:
+            cancelled.append(request.target)
+            raise
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+
+            async def serve():
+                await serve_connection(
+                    server,
+                    slow,
+                    limits=HttpLimits(),
+                    drain=Drain(),
+                    cancel_on_disconnect=True,
+                )
+
+            nursery.start_soon(serve)
+            await client.send_all(REQUEST)
+            await trio.testing.wait_all_tasks_blocked()
+            await client.aclose()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert cancelled == [b"/"]
+
+
+def test_a_failing_handler_costs_one_answer_only():
+    async def failing(request, informational):
+        if request.target == b"/":
+            raise RuntimeError("a fault of this request")
+        return Response(200)
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+
+            async def serve():
+                await serve_connection(
+                    server, failing, limits=HttpLimits(), drain=Drain()
+                )
+
+            nursery.start_soon(serve)
+            await client.send_all(REQUEST + REQUEST.replace(b"/ ", b"/b "))
+            await client.send_stream.aclose()
+            return await receive_all(client)
+
+    received = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert received.count(b"HTTP/1.1 500") == 1
+    assert b"jacinthshed-verdict: may-have-run" in received
+    assert received.count(b"HTTP/1.1 200") == 1
