--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -69,6 +69,7 @@
         self.decisions = []
         self.node = None
         self.node_ended = None
+        self.is_starting = False
         self.backend = None
         self._backend_scope = None
         self._node_scope = None
@@ -219,7 +220,7 @@
         entries = [self.hosts[host].entry for host in hosts]
         return Caller(entries=entries, network=network, rng=random.Random(5))
 
-    async def send(self, host, request, timeout_ms=10_000):
+    async def send(self, host, request, timeout_ms=10_000, informational=None):
         """Send one HTTP request to the entry of ``host``, once."""
         pool = BackendPool(
             connect=self._network("10.8.8.8").connect,
@@ -228,7 +229,10 @@
         )
         try:
             return await pool.request(
-                request, timeout_ms=timeout_ms, max_body_bytes=1_000_000
+                request,
+                timeout_ms=timeout_ms,
+                max_body_bytes=1_000_000,
+                informational=informational,
             )
         finally:
             await pool.close()
--- /dev/null
+++ b/tests/common/order_client.py
@@ -0,0 +1,49 @@
+"""A caller that sends one key in every permitted way, and remembers the verdicts."""
+
+from jacinthshed.internal.http.message import Request, Response, header
+
+
+class OrderClient:
+    """Sends copies of one order and keeps what it was told.
+
+    The key is sent as ``new`` once at most, and first. Later copies carry the fence,
+    or nothing, as if the caller had lost it.
+    """
+
+    def __init__(self, fleet, key):
+        self.fleet = fleet
+        self.key = key
+        self.fence = ""
+        self.sent = 0
+        self.outstanding = 0
+        self.verdicts = []
+
+    async def send(self, entry, *, keep_fence):
+        """Send one copy through ``entry`` and note its verdict."""
+        if self.sent == 0:
+            fence = "new"
+        else:
+            fence = self.fence if keep_fence else ""
+        self.sent += 1
+        self.outstanding += 1
+        headers = [(b"host", b"callers"), (b"idempotency-key", self.key.encode())]
+        if fence:
+            headers.append((b"jacinthshed-fence", fence.encode()))
+        request = Request(b"POST", b"/orders/book", tuple(headers))
+        outcome = await self.fleet.send(
+            entry, request, timeout_ms=6_000, informational=self._learn
+        )
+        self.outstanding -= 1
+        if isinstance(outcome, Response):
+            await self._learn(outcome)
+            verdict = (header(outcome.headers, b"jacinthshed-verdict") or b"").decode()
+            self.verdicts.append(verdict)
+        else:
+            self.verdicts.append("not-run" if not outcome.sent else "unknown")
+            if not outcome.sent and self.sent == 1:
+                self.sent = 0
+
+    async def _learn(self, response):
+        fence = header(response.headers, b"jacinthshed-fence")
+        if fence:
+            self.fence = fence.decode()
--- /dev/null
+++ b/tests/cover/test_fleet_faults.py
@@ -0,0 +1,45 @@
+"""Random faults on a whole fleet against a simple oracle.
+
+The backend servers' own record of starts is held against every verdict given.
+"""
+
+import trio
+from hypothesis import given, settings, strategies as st
+
+from tests.common.fault_schedule import FaultRun, steps
+from tests.common.fleet import run_virtual, running_fleet
+from tests.common.policies import single_bundle, single_layout
+
+HOSTS = 3
+KEY_LIFETIME_MS = 8_000
+OPTIONS = {"orders": {"service_ms": 150.0, "spread": 0.9}}
+
+
+def check(schedule):
+    """Run ``schedule`` and hold the starts against the verdicts."""
+
+    async def main():
+        bundle = single_bundle(fence={"key_lifetime_ms": KEY_LIFETIME_MS})
+        async with running_fleet(single_layout(HOSTS), bundle, OPTIONS) as fleet:
+            await trio.sleep(KEY_LIFETIME_MS / 1_000 + 1)
+            async with trio.open_nursery() as nursery:
+                run = FaultRun(fleet, nursery)
+                for step in schedule:
+                    await run.take(step)
+                await run.settle()
+                nursery.cancel_scope.cancel()
+            for key, client in run.clients.items():
+                starts = fleet.total_starts(key)
+                assert starts <= 1, (key, client.verdicts)
+                if set(client.verdicts) == {"not-run"}:
+                    assert starts == 0, (key, client.verdicts)
+                if "ran" in client.verdicts:
+                    assert starts == 1, (key, client.verdicts)
+
+    run_virtual(main)
+
+
+@settings(max_examples=60)
+@given(schedule=st.lists(steps(HOSTS), min_size=4, max_size=25))
+def test_no_key_runs_twice_and_not_run_is_true(schedule):
+    check(schedule)
