--- a/src/jacinthshed/internal/bundle/store.py
+++ b/src/jacinthshed/internal/bundle/store.py
@@ -47,11 +47,13 @@
     """Keeps the highest valid bundle that was offered.
 
     The order of the bundle in force only goes up while the process lives. An invalid
-    bundle never replaces the one in force.
+    bundle never replaces the one in force. ``deployment``, when it isn't empty, is the
+    only one whose bundles are taken.
     """
 
-    def __init__(self, *, trusted: TrustedOperators) -> None:
+    def __init__(self, *, trusted: TrustedOperators, deployment: str = "") -> None:
         self._trusted = trusted
+        self._deployment = deployment
         self._current: SignedBundle | None = None
         self._clashes: dict[tuple[bytes, bytes], Clash] = {}
 
@@ -81,7 +83,13 @@
         opened = open_signed(data, self._trusted, source=source)
         if isinstance(opened, Failure):
             return Offer(OfferOutcome.REFUSED, source, str(opened.failure()))
-        return self._place(opened.unwrap(), source)
+        signed = opened.unwrap()
+        if self._deployment not in ("", signed.bundle.deployment):
+            # Decided by the settings and not by the bundle in force, so that the
+            # outcome doesn't depend on which bundle a node saw first.
+            reason = f"made for {signed.bundle.deployment}, not {self._deployment}"
+            return Offer(OfferOutcome.REFUSED, source, reason)
+        return self._place(signed, source)
 
     def _place(self, signed: SignedBundle, source: str) -> Offer:
         before = self.order
--- a/src/jacinthshed/internal/cli/app.py
+++ b/src/jacinthshed/internal/cli/app.py
@@ -2,14 +2,24 @@
 
 import cyclopts
 
-app = cyclopts.App(name="jacinthshed", help="Overload control for call graphs.")
+from .bundle_commands import bundle_app
+from .exit_codes import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
+
+__all__ = ["EXIT_DONE", "EXIT_REFUSED", "EXIT_USAGE", "app", "run"]
 
-EXIT_DONE = 0
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
+app = cyclopts.App(name="jacinthshed", help="Overload control for call graphs.")
+app.command(bundle_app)
 
 
 def run(arguments: list[str]) -> int:
     """Run one command and return its exit code: 0 done, 1 refused, 2 usage."""
-    result = app(arguments, exit_on_error=False)
+    try:
+        result = app(
+            arguments,
+            exit_on_error=False,
+            print_error=True,
+            result_action="return_value",
+        )
+    except cyclopts.CycloptsError:
+        return EXIT_USAGE
     return result if isinstance(result, int) else EXIT_DONE
--- /dev/null
+++ b/src/jacinthshed/internal/cli/exit_codes.py
@@ -0,0 +1,5 @@
+"""Exit codes of every command."""
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
--- /dev/null
+++ b/src/jacinthshed/internal/cli/signing_commands.py
@@ -0,0 +1,204 @@
+"""The ``jacinthshed bundle`` commands about keys and signatures."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+from returns.result import Failure, Result, Success
+
+from ..bundle.document import BundleError
+from ..bundle.signing import (
+    SignedBundle,
+    TrustedOperators,
+    envelope_bytes,
+    generate_key,
+    open_signed,
+    sign,
+)
+from ..settings.checks import check_operators
+from ..settings.keys import public_key_text
+from ..settings.load import load_settings
+from ..settings.model import OperatorSettings
+from .bundle_files import (
+    BundleFile,
+    read_bundle_file,
+    read_bytes,
+    read_private_key,
+    write_output,
+    write_private_key,
+)
+from .exit_codes import EXIT_DONE, EXIT_USAGE
+from .in_force import version_in_force
+from .output import Json, print_json, refuse, refuse_bundle
+
+
+def keygen(operator: str, /, *, private_key: Path, as_json: Json = False) -> int:
+    """Make a key pair for an operator.
+
+    The private key is written to a new file that only its owner may read. The public
+    key is printed, for ``operators.keys`` in the settings of every node.
+
+    Example: ``jacinthshed bundle keygen ana --private-key ana.pem``
+
+    Parameters
+    ----------
+    operator
+        The operator's name.
+    private_key
+        The file to write; it must not exist.
+    """
+    key = generate_key()
+    written = write_private_key(private_key, key)
+    if isinstance(written, Failure):
+        return refuse(written.failure())
+    public = public_key_text(key.public_key())
+    if as_json:
+        return print_json({"operator": operator, "public_key": public})
+    print(f"{operator}: {public}")
+    return EXIT_DONE
+
+
+def sign_command(
+    file: Path,
+    /,
+    *,
+    operator: str,
+    private_key: Path,
+    output: Path,
+    in_force: Path | None = None,
+    in_force_address: str | None = None,
+) -> int:
+    """Sign a bundle, or add a signature to a signed one.
+
+    The bundle is checked first. Show the bundle in force, so that a version which
+    isn't above it is refused.
+
+    Example: ``jacinthshed bundle sign bundle.yaml --operator ana --private-key ana.pem
+    --in-force current.yaml --output signed.yaml``
+
+    Parameters
+    ----------
+    file
+        A bundle document or a signed bundle.
+    operator
+        The name that the nodes' settings know the key by.
+    private_key
+        The operator's private key, a PEM file.
+    output
+        The file to write the signed bundle to.
+    in_force
+        A file with the bundle that is in force now.
+    in_force_address
+        The peer address of a node to ask for the version in force.
+    """
+    read = read_bundle_file(file)
+    if isinstance(read, Failure):
+        return refuse_bundle(read.failure())
+    found = read.unwrap()
+    above = _check_above(found, in_force, in_force_address)
+    key = read_private_key(private_key)
+    for step in (above, key):
+        if isinstance(step, Failure):
+            return refuse(step.failure())
+    signed = sign(found.envelope, operator, key.unwrap())
+    written = write_output(output, envelope_bytes(signed))
+    if isinstance(written, Failure):
+        return refuse(written.failure())
+    signers = ", ".join(s.operator for s in signed.signatures)
+    print(f"{output}: version {found.bundle.version}, signed by {signers}")
+    return EXIT_DONE
+
+
+def _check_above(
+    found: BundleFile, in_force: Path | None, address: str | None
+) -> Result[None, str]:
+    """Fail unless ``found`` is above every version that is shown as in force."""
+    if in_force is None and address is None:
+        hint = "no --in-force given: the version is not compared with the one in force"
+        print(hint, file=sys.stderr)
+        return Success(None)
+    shown: list[Result[int, str]] = []
+    if in_force is not None:
+        read = read_bundle_file(in_force)
+        shown.append(read.map(lambda f: f.bundle.version).alt(str))
+    if address is not None:
+        shown.append(version_in_force(address))
+    for version in shown:
+        above = version.bind(lambda v: _above(found.bundle.version, v))
+        if isinstance(above, Failure):
+            return above
+    return Success(None)
+
+
+def _above(version: int, in_force: int) -> Result[None, str]:
+    if version > in_force:
+        return Success(None)
+    return Failure(
+        f"version {version} is not above {in_force}, which is in force; "
+        f"set version to {in_force + 1} or more"
+    )
+
+
+def verify(
+    file: Path,
+    /,
+    *,
+    settings: Path | None = None,
+    key: Annotated[tuple[str, ...], cyclopts.Parameter(negative="")] = (),
+    threshold: int = 1,
+    as_json: Json = False,
+) -> int:
+    """Verify that enough trusted operators signed a bundle.
+
+    Name the trusted operators by a node's settings or by their keys.
+
+    Example: ``jacinthshed bundle verify signed.yaml --settings node.yaml``
+
+    Example: ``jacinthshed bundle verify signed.yaml --key ana=BASE64 --threshold 1``
+
+    Parameters
+    ----------
+    file
+        The signed bundle.
+    settings
+        Settings of a node, whose trusted operators count.
+    key
+        A trusted operator as NAME=BASE64; may be given several times.
+    threshold
+        How many operators have to sign; only with ``--key``.
+    """
+    if (settings is None) == (not key):
+        print("give either --settings FILE or --key NAME=BASE64", file=sys.stderr)
+        return EXIT_USAGE
+    trusted = _trusted(settings, key, threshold)
+    if isinstance(trusted, Failure):
+        return refuse(trusted.failure())
+    opened = _open(file, trusted.unwrap())
+    if isinstance(opened, Failure):
+        return refuse_bundle(opened.failure(), as_json=as_json)
+    order = opened.unwrap().order
+    if as_json:
+        head = {"version": order.version, "digest": order.digest.hex()}
+        return print_json({"ok": True, **head})
+    print(f"{file}: version {order.version}, digest {order.digest.hex()}: verified")
+    return EXIT_DONE
+
+
+def _trusted(
+    settings: Path | None, keys: tuple[str, ...], threshold: int
+) -> Result[TrustedOperators, str]:
+    if settings is not None:
+        return load_settings(settings).map(lambda loaded: loaded.operators).alt(str)
+    named = [key.partition("=") for key in keys]
+    texts = {name: text for name, _, text in named}
+    operators = OperatorSettings(keys=texts, threshold=threshold)
+    problems = list(check_operators(operators))
+    if problems:
+        return Failure("\n".join(map(str, problems)))
+    return Success(operators)
+
+
+def _open(file: Path, trusted: TrustedOperators) -> Result[SignedBundle, BundleError]:
+    data = read_bytes(file)
+    return data.bind(lambda got: open_signed(got, trusted, source=str(file)))
--- a/src/jacinthshed/internal/settings/checks.py
+++ b/src/jacinthshed/internal/settings/checks.py
@@ -37,8 +37,10 @@
     if not is_name(settings.availability_zone):
         found = shown(settings.availability_zone)
         yield Problem("availability_zone", NAME_EXPECTED, found)
-    if settings.service and not is_name(settings.service):
-        yield Problem("service", NAME_EXPECTED, shown(settings.service))
+    for field in ("service", "deployment"):
+        value = getattr(settings, field)
+        if value and not is_name(value):
+            yield Problem(field, NAME_EXPECTED, shown(value))
 
 
 def _check_listeners(settings: NodeSettings) -> Iterator[Problem]:
--- a/src/jacinthshed/internal/settings/model.py
+++ b/src/jacinthshed/internal/settings/model.py
@@ -81,7 +81,9 @@
     """All settings of one node.
 
     ``service`` is empty on a node that has no backend server; it then only takes
-    callers' requests. ``seeds`` are peer addresses to learn the first members from.
+    callers' requests. ``deployment``, when it isn't empty, is the only one whose
+    bundles the node takes; it matters where deployments share operators' keys.
+    ``seeds`` are peer addresses to learn the first members from.
     """
 
     host: str
@@ -89,6 +91,7 @@
     listen: ListenSettings
     operators: OperatorSettings
     service: str = ""
+    deployment: str = ""
     backend: BackendSettings | None = None
     platform: PlatformSettings | None = None
     seeds: tuple[Address, ...] = ()
--- /dev/null
+++ b/tests/cover/test_bundle_signing.py
@@ -0,0 +1,67 @@
+import base64
+
+import yaml
+from hypothesis import given, settings, strategies as st
+from returns.result import Failure, Success
+
+from jacinthshed.internal.bundle.signing import open_signed
+from jacinthshed.internal.settings.model import OperatorSettings
+from tests.common.bundles import ANA, BRUNO, CARLA, STRANGER, document, signed, trust
+
+ALL = (ANA, BRUNO, CARLA, STRANGER)
+TEXT = document()
+
+
+@settings(max_examples=60)
+@given(
+    signers=st.lists(st.sampled_from(ALL), max_size=6),
+    spoiled=st.sets(st.sampled_from(ALL)),
+    threshold=st.integers(1, 3),
+)
+def test_opens_when_enough_distinct_trusted_operators_signed(
+    signers, spoiled, threshold
+):
+    envelope = yaml.safe_load(signed(TEXT, *signers))
+    spoiled_names = {one.name for one in spoiled}
+    for entry in envelope["signatures"]:
+        if entry["operator"] in spoiled_names:
+            entry["signature"] = entry["signature"][::-1]
+    # Every signature twice: a repeated one counts once.
+    envelope["signatures"] += [dict(entry) for entry in envelope["signatures"]]
+    trusted = trust(ANA, BRUNO, CARLA, threshold=threshold)
+
+    opened = open_signed(yaml.safe_dump(envelope).encode(), trusted)
+
+    good = {one.name for one in signers} - spoiled_names - {"stranger"}
+    assert isinstance(opened, Success) == (len(good) >= threshold)
+
+
+def test_two_names_for_one_key_are_one_signer():
+    ana = trust(ANA, threshold=1).keys["ana"]
+    trusted = OperatorSettings(keys={"ana": ana, "bruno": ana}, threshold=2)
+    data = signed(TEXT, ANA, ANA._replace(name="bruno"))
+    assert isinstance(open_signed(data, trusted), Failure)
+
+
+def test_a_signature_without_the_prefix_does_not_count():
+    envelope = yaml.safe_load(signed(TEXT, ANA))
+    raw = ANA.key.sign(TEXT)
+    envelope["signatures"][0]["signature"] = base64.b64encode(raw).decode()
+    data = yaml.safe_dump(envelope).encode()
+    assert isinstance(open_signed(data, trust(ANA, threshold=1)), Failure)
+
+
+def test_the_error_names_the_unknown_operator_and_the_bad_signature():
+    data = signed(TEXT, ANA, STRANGER).replace(b"version: 1", b"version: 2")
+    error = str(open_signed(data, trust(ANA, BRUNO, threshold=2)).failure())
+    assert "expected valid signatures of 2 trusted operators, found 0" in error
+    assert "signatures[0].signature: expected a signature by ana" in error
+    assert "signatures[1].operator: expected a trusted operator" in error
+    assert "'stranger'" in error
+    assert "jacinthshed bundle sign" in error
+
+
+def test_any_document_text_survives_the_envelope():
+    text = b"a: 1  \n\tx: \xc3\xa9\r\n# end \xe2\x80\xa8 \n\n\n"
+    envelope = yaml.safe_load(signed(text, ANA))
+    assert envelope["document"].encode() == text
