--- a/tests/cover/test_bundle_spread.py
+++ b/tests/cover/test_bundle_spread.py
@@ -21,6 +21,9 @@
     place: tuple[int, bytes]
     data: bytes
 
+    def __repr__(self) -> str:
+        return f"v{self.place[0]}-{self.place[1].hex()[:4]}"
+
 
 def _sample(version: int, rank: int) -> Sample:
     text = document({"routes.stock.rank": rank}, version=version)
