--- a/src/jacinthshed/internal/bundle/policy_checks.py
+++ b/src/jacinthshed/internal/bundle/policy_checks.py
@@ -66,7 +66,9 @@
 
 def _check_admission(bundle: Bundle) -> Iterator[Problem]:
     admission = bundle.admission
-    fewest = min((service.slots for service in bundle.services.values()), default=1)
+    # Slots below 1 are a problem of their own and must not show here again.
+    slots = (max(1, service.slots) for service in bundle.services.values())
+    fewest = min(slots, default=1)
     why = "at most the fewest slots of a service"
     yield from outside("admission.min_limit", admission.min_limit, 1, fewest, why)
     tolerance = admission.latency_tolerance
