Tests of settings, the platform adapter and the host list

Two faults found by these tests and mended. msgspec raises RecursionError, which is no DecodeError, on a JSON value that is nested thousands of levels deep (seen with 9,999 in the host list and 99,999 below an unknown key of a read): the reading task would have ended. It is now an error like any malformed answer.

--- a/src/jacinthshed/internal/platform/adapter.py
+++ b/src/jacinthshed/internal/platform/adapter.py
@@ -131,7 +131,7 @@
     try:
         document = msgspec.json.decode(answer.body, type=_Document)
         value = document.value.encode("utf-8")
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Failure(PlatformError(PlatformFault.MALFORMED, str(error)))
     if len(value) > MAX_VALUE_BYTES:
         detail = f"{len(value)} bytes of {key!r}; the limit is {MAX_VALUE_BYTES}"
--- a/src/jacinthshed/internal/platform/hosts.py
+++ b/src/jacinthshed/internal/platform/hosts.py
@@ -56,7 +56,7 @@
     """Return the host list in ``value``; fails only when it is no JSON list."""
     try:
         raw_records = msgspec.json.decode(value, type=list[msgspec.Raw])
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Failure(Problem("", "a JSON list of hosts", str(error)))
     hosts: dict[str, HostRecord] = {}
     problems: list[Problem] = []
@@ -72,7 +72,7 @@
 def _parse_record(raw: msgspec.Raw, path: str) -> Result[HostRecord, Problem]:
     try:
         record = msgspec.json.decode(raw, type=_Record)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Failure(Problem(path, "a host", str(error)))
     if not record.host:
         return Failure(Problem(f"{path}.host", "a host's name", "nothing"))
