--- a/src/jacinthshed/internal/cli/app.py
+++ b/src/jacinthshed/internal/cli/app.py
@@ -4,10 +4,12 @@
 
 from .bundle_commands import bundle_app
 from .exit_codes import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
+from .node_command import node
 
 __all__ = ["EXIT_DONE", "EXIT_REFUSED", "EXIT_USAGE", "app", "run"]
 
 app = cyclopts.App(name="jacinthshed", help="Overload control for call graphs.")
+app.command(node)
 app.command(bundle_app)
 
 
--- /dev/null
+++ b/src/jacinthshed/internal/node/driver.py
@@ -0,0 +1,142 @@
+"""Carries out the steps of a call's flow."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..flow.call import Call
+from ..flow.idempotent import CallFlow
+from ..flow.steps import (
+    AllAsked,
+    Announce,
+    AskAll,
+    Broken,
+    CallEnd,
+    Done,
+    Event,
+    Exchange,
+    LinkReady,
+    Pause,
+    Ready,
+    Replied,
+    Step,
+    TimedOut,
+)
+from ..wire.frames import Cancel, Frame, Reply, Revoke, Revoked
+from .caller_port import CallerPort
+from .clock import MS_PER_S
+from .link import Channel, LinkEvent, give_up_exchange
+from .links import LinkTable
+from .observer import ExchangeObserver
+from .one_shot import OneShot
+
+REPLY_GRACE_MS = 50.0
+ASK_TIMEOUT_MS = 500.0
+
+ALIVE_INTERVAL_MS = 150.0
+
+
+async def drive(
+    flow: CallFlow,
+    call: Call,
+    *,
+    links: LinkTable,
+    port: CallerPort,
+    observer: ExchangeObserver,
+) -> CallEnd:
+    """Run ``flow`` to its end.
+
+    The wait for a reply goes on a little after the deadline, as a target's own
+    refusal at the deadline tells more than a timeout here.
+    """
+    deadline_s = (call.deadline_at_ms + REPLY_GRACE_MS) / MS_PER_S
+    event: Event | None = None
+    while True:
+        try:
+            step = next(flow) if event is None else flow.send(event)
+        except StopIteration as stop:
+            return stop.value
+        with trio.CancelScope(deadline=deadline_s) as scope:
+            event = await _perform(step, links, port, observer)
+        if scope.cancelled_caught:
+            event = TimedOut()
+
+
+async def _perform(
+    step: Step,
+    links: LinkTable,
+    port: CallerPort,
+    observer: ExchangeObserver,
+) -> Event:
+    if isinstance(step, Exchange):
+        return await _exchange(step, links, port, observer)
+    if isinstance(step, Ready):
+        return await _ready(step, links)
+    if isinstance(step, Announce):
+        await port.announce(step.fence)
+        return Done()
+    if isinstance(step, Pause):
+        await trio.sleep(step.wait_ms / MS_PER_S)
+        return Done()
+    return await _ask_all(step, links)
+
+
+async def _ready(step: Ready, links: LinkTable) -> Event:
+    channel = await links.open(step.host)
+    if channel is None or channel.peer is None:
+        return Broken(sent=False)
+    return LinkReady(channel.peer.record.incarnation)
+
+
+async def _exchange(
+    step: Exchange, links: LinkTable, port: CallerPort, observer: ExchangeObserver
+) -> Event:
+    channel = links.to(step.host) or await links.open(step.host)
+    if channel is None:
+        return Broken(sent=False)
+    frame: LinkEvent = None
+    observer.sent(step.host)
+    try:
+        frame = await _ask(channel, step.submit.request_id, step.submit, port.alive)
+    except trio.Cancelled:
+        if not step.submit.fence:
+            channel.send(Cancel(step.submit.request_id, "", ""))
+        raise
+    finally:
+        observer.ended(step.host, frame if isinstance(frame, Reply) else None)
+    return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
+
+
+async def _ask_all(step: AskAll, links: LinkTable) -> Event:
+    answers: dict[str, Revoked | None] = {host: None for host, _ in step.asks}
+
+    async def ask(host: str, revoke: Revoke) -> None:
+        with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
+            channel = await links.open(host)
+            if channel is not None:
+                frame = await _ask(channel, revoke.request_id, revoke)
+                answers[host] = frame if isinstance(frame, Revoked) else None
+
+    async with trio.open_nursery() as nursery:
+        for host, revoke in step.asks:
+            nursery.start_soon(ask, host, revoke)
+    return AllAsked(tuple(answers.items()))
+
+
+async def _ask(
+    channel: Channel,
+    request_id: str,
+    frame: Frame,
+    alive: Callable[[], Awaitable[None]] | None = None,
+) -> LinkEvent:
+    exchange: OneShot[LinkEvent] = OneShot()
+    channel.exchanges[request_id] = exchange
+    try:
+        channel.send(frame)
+        while alive is not None:
+            with trio.move_on_after(ALIVE_INTERVAL_MS / MS_PER_S):
+                return await exchange.wait()
+            await alive()
+        return await exchange.wait()
+    finally:
+        give_up_exchange(channel, request_id)
