A connection is reusable only after its whole response

It was marked so with the head already, so an exchange that timed out inside the body gave the connection back, and its last bytes could begin another request's answer. Found by asking once more after each conduct of the server (PART); the added conduct STALLED fails without this change.

--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -10,6 +10,8 @@
 from .message import (
     CONNECTION,
     CONTENT_LENGTH,
+    TRANSFER_ENCODING,
+    Headers,
     Request,
     Response,
     header,
@@ -57,7 +59,8 @@
         await self.stream.send_all(data)
         event = await self._read_final_head(library, informational)
         body = await self._read_body(request, event, library, max_body_bytes)
-        self.reusable = self.reusable and not self._received
+        # Only now, as an exchange that is given up earlier leaves bytes behind.
+        self.reusable = _may_carry_another(request, event) and not self._received
         return Response(event.status_code, _kept_headers(request, event), body)
 
     def is_closed_by_peer(self) -> bool:
@@ -95,15 +98,11 @@
         library: h11.Connection,
         max_body_bytes: int,
     ) -> bytes:
-        headers = tuple(event.headers)
-        self.reusable = _keeps_alive(event, headers)
-        if request.method == b"HEAD" or event.status_code in _NO_BODY_STATUSES:
+        if _has_no_body(request, event):
             return b""
-        length = header(headers, CONTENT_LENGTH)
-        chunked = header(headers, b"transfer-encoding") is not None
-        if length is not None and not chunked:
-            return await self._read_counted(int(length), max_body_bytes)
-        self.reusable = self.reusable and chunked
+        length = _counted_length(event)
+        if length is not None:
+            return await self._read_counted(length, max_body_bytes)
         return await self._read_events(library, max_body_bytes)
 
     async def _read_counted(self, length: int, max_body_bytes: int) -> bytes:
@@ -161,14 +160,32 @@
         raise BadResponseError(str(error)) from error
 
 
-def _keeps_alive(event: h11.Response, headers: tuple[tuple[bytes, bytes], ...]) -> bool:
+def _counted_length(event: h11.Response) -> int | None:
+    """Return the length of the body, or ``None`` when it has no stated length."""
+    headers = tuple(event.headers)
+    if header(headers, TRANSFER_ENCODING) is not None:
+        return None
+    length = header(headers, CONTENT_LENGTH)
+    return None if length is None else int(length)
+
+
+def _may_carry_another(request: Request, event: h11.Response) -> bool:
+    """Return whether the connection stays open after the whole response."""
+    headers = tuple(event.headers)
     tokens = (header(headers, CONNECTION) or b"").lower()
-    return event.http_version == b"1.1" and b"close" not in tokens
+    if event.http_version != b"1.1" or b"close" in tokens:
+        return False
+    if _has_no_body(request, event):
+        return True
+    is_chunked = header(headers, TRANSFER_ENCODING) is not None
+    return is_chunked or header(headers, CONTENT_LENGTH) is not None
+
+
+def _has_no_body(request: Request, event: h11.Response) -> bool:
+    return request.method == b"HEAD" or event.status_code in _NO_BODY_STATUSES
 
 
-def _kept_headers(
-    request: Request, event: h11.Response
-) -> tuple[tuple[bytes, bytes], ...]:
+def _kept_headers(request: Request, event: h11.Response) -> Headers:
     kept = without_connection_fields(event.headers)
     if request.method != b"HEAD":
         return kept
--- a/src/jacinthshed/internal/http/head.py
+++ b/src/jacinthshed/internal/http/head.py
@@ -7,7 +7,7 @@
 import h11
 
 from .errors import BadRequestError
-from .message import CONTENT_LENGTH, header
+from .message import CONTENT_LENGTH, TRANSFER_ENCODING, header
 
 HEAD_END = b"\r\n\r\n"
 
@@ -49,7 +49,7 @@
 def body_length(event: h11.Request) -> int | None:
     """Return the length of the body in bytes, or ``None`` for a chunked one."""
     headers = tuple(event.headers)
-    if header(headers, b"transfer-encoding") is not None:
+    if header(headers, TRANSFER_ENCODING) is not None:
         return None
     return int(header(headers, CONTENT_LENGTH) or 0)
 
@@ -82,7 +82,7 @@
     if not target.startswith(b"/") or b"#" in target:
         raise BadRequestError(400, "write the request target as an absolute path")
     headers = tuple(event.headers)
-    if header(headers, b"transfer-encoding") is None:
+    if header(headers, TRANSFER_ENCODING) is None:
         return
     if header(headers, CONTENT_LENGTH) is not None:
         raise BadRequestError(400, "send Content-Length or Transfer-Encoding, not both")
--- a/src/jacinthshed/internal/http/message.py
+++ b/src/jacinthshed/internal/http/message.py
@@ -8,6 +8,7 @@
 
 CONTENT_LENGTH = b"content-length"
 CONNECTION = b"connection"
+TRANSFER_ENCODING = b"transfer-encoding"
 PROBLEM_JSON = b"application/problem+json"
 
 # Fields that concern one connection only. Length fields are among them because a
@@ -23,7 +24,7 @@
         b"proxy-connection",
         b"te",
         b"trailer",
-        b"transfer-encoding",
+        TRANSFER_ENCODING,
         b"upgrade",
     )
 )
--- a/tests/common/raw_server.py
+++ b/tests/common/raw_server.py
@@ -15,6 +15,7 @@
     ANSWER_AND_JUNK = "answers and sends a second response unasked"
     ANSWER_AND_CLOSE = "answers and closes without saying so"
     LATE = "answers after the client's timeout"
+    STALLED = "sends the last byte of the body after the client's timeout"
     PART = "closes inside the body"
     PART_OF_CHUNKS = "closes inside the last chunk"
     CLOSE = "closes without an answer"
@@ -57,6 +58,11 @@
         """Answer; return whether the connection stays open."""
         if conduct is Conduct.LATE:
             await trio.sleep(self.late_s)
+        if conduct is Conduct.STALLED:
+            await stream.send_all(counted(token)[:-1])
+            await trio.sleep(self.late_s)
+            await stream.send_all(token[-1:])
+            return True
         data = {
             Conduct.ANSWER_CHUNKED: chunked(token),
             Conduct.ANSWER_UNTIL_CLOSE: b"HTTP/1.1 200 OK\r\n\r\n" + token,
