--- a/src/jacinthshed/internal/cli/call_command.py
+++ b/src/jacinthshed/internal/cli/call_command.py
@@ -39,30 +39,17 @@
 
     Example: ``jacinthshed call 127.0.0.1:7000 POST /refunds/new --key kiosk-7-0041``
 
-    Parameters
-    ----------
-    entry
-        Address of an entry node, as IP:port.
-    method
-        HTTP method.
-    path
-        Path with its query.
-    key
-        Idempotency key. Use the same one to ask again after "may-have-run".
-    fence
-        Fence that an earlier call with this key printed.
-    first_use
-        Promise that this key was never sent before; saves a search for it.
-    deadline_ms
-        Time that the whole call may take, in milliseconds.
-    idempotent
-        Whether the request may safely run twice; by default the method decides.
-    header
-        A further header field as NAME:VALUE; may be given several times.
-    body
-        Body of the request.
-    as_json
-        Print one JSON object.
+    :param entry: Address of an entry node, as IP:port.
+    :param method: HTTP method.
+    :param path: Path with its query.
+    :param key: Idempotency key; give the same one to ask again after "may-have-run".
+    :param fence: Fence that an earlier call with this key printed.
+    :param first_use: Promise that this key was never sent; saves a search for it.
+    :param deadline_ms: Time that the whole call may take, in milliseconds.
+    :param idempotent: Whether the request may run twice; else the method decides.
+    :param header: A further header field as NAME:VALUE; may be given several times.
+    :param body: Body of the request.
+    :param as_json: Print one JSON object.
     """
     try:
         split_address(entry)
