--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -1,5 +1,6 @@
 """Reads whole requests from one connection."""
 
+import math
 from typing import NamedTuple
 
 import h11
@@ -23,11 +24,21 @@
 
 
 class RequestReader:
-    """Bytes that were received on a connection and are not yet part of a request."""
+    """Bytes that were received on a connection and are not yet part of a request.
+
+    ``scope`` is the connection's: its deadline bounds each wait for the client.
+    """
 
     def __init__(
-        self, *, stream: trio.abc.Stream, limits: HttpLimits, drain: Drain
+        self,
+        *,
+        stream: trio.abc.Stream,
+        scope: trio.CancelScope,
+        limits: HttpLimits,
+        drain: Drain,
     ) -> None:
+        self.is_late = False
+        self._scope = scope
         self._stream = stream
         self._limits = limits
         self._drain = drain
@@ -36,38 +47,46 @@
     async def read(self) -> IncomingRequest | None:
         """Return the next request, or ``None`` when the connection is over.
 
-        Raises ``BadRequestError`` for anything else than a whole request in time.
+        The scope's deadline passes when a request takes too long; ``is_late`` is then
+        true. Raises ``BadRequestError`` for anything else than a whole request.
         """
-        with trio.CancelScope() as scope:
-            if not await self._wait_for_start(scope):
-                return None
-            scope.deadline = trio.current_time() + self._limits.read_ms / _MS_PER_S
-            return await self._read_whole()
-        if not self._received:
+        if not await self._wait_for_start():
             return None
-        raise BadRequestError(
-            408, f"send the whole request within {self._limits.read_ms} ms"
-        )
+        read_s = self._limits.read_ms / _MS_PER_S
+        self._scope.deadline = trio.current_time() + read_s
+        self.is_late = True
+        incoming = await self._read_whole()
+        # A deadline that has passed by now would cancel the handler half-way.
+        if self._scope.cancel_called:
+            await trio.lowlevel.checkpoint()
+        self._scope.deadline = math.inf
+        self.is_late = False
+        return incoming
 
     async def wait_for_disconnect(self) -> None:
         """Return when the client closes; keep what it sends until then.
 
         A client that sends more than one head ahead is not read any further.
         """
-        while len(self._received) <= self._limits.head_bytes:
-            if not await self._receive():
-                return
+        try:
+            while len(self._received) <= self._limits.head_bytes:
+                if not await self._receive():
+                    return
+        except trio.BrokenResourceError:
+            return
         await trio.sleep_forever()
 
-    async def _wait_for_start(self, scope: trio.CancelScope) -> bool:
+    async def _wait_for_start(self) -> bool:
+        """Wait for the first byte of a request; return whether one came."""
         if self._received:
             return True
-        scope.deadline = trio.current_time() + self._limits.idle_ms / _MS_PER_S
-        self._drain.enter_idle(scope)
+        idle_s = self._limits.idle_ms / _MS_PER_S
+        self._scope.deadline = trio.current_time() + idle_s
+        self._drain.enter_idle(self._scope)
         try:
             return await self._receive()
         finally:
-            self._drain.leave_idle(scope)
+            self._drain.leave_idle(self._scope)
 
     async def _receive(self) -> bool:
         """Receive some bytes; return whether there were any."""
--- /dev/null
+++ b/src/jacinthshed/internal/http/response_writer.py
@@ -0,0 +1,49 @@
+"""Bytes of a server's responses."""
+
+import h11
+
+from .errors import BadRequestError
+from .message import CONTENT_LENGTH, Header, Response
+from .problem import malformed_response
+from .request_reader import IncomingRequest
+
+_CONNECTION_CLOSE = (b"connection", b"close")
+_NO_BODY_STATUSES = (204, 304)
+
+
+def encode_response(incoming: IncomingRequest, response: Response, last: bool) -> bytes:
+    """Return ``response`` as bytes; ``last`` announces that the connection closes.
+
+    Raises ``h11.LocalProtocolError`` when its fields can't be written.
+    """
+    headers = list(response.headers)
+    if response.status in _NO_BODY_STATUSES or incoming.request.method == b"HEAD":
+        body = b""
+    else:
+        body = response.body
+        headers.append(_length(body))
+    if last:
+        headers.append(_CONNECTION_CLOSE)
+    event = h11.Response(status_code=response.status, headers=headers)
+    # The body goes round the library, which would only copy it.
+    return (incoming.connection.send(event) or b"") + body
+
+
+def encode_interim(incoming: IncomingRequest, interim: Response) -> bytes:
+    """Return an interim response as bytes."""
+    event = h11.InformationalResponse(
+        status_code=interim.status, headers=list(interim.headers)
+    )
+    return incoming.connection.send(event) or b""
+
+
+def encode_refusal(error: BadRequestError) -> bytes:
+    """Return the response to bytes that never became a request."""
+    response = malformed_response(error.status, error.detail)
+    headers = [*response.headers, _length(response.body), _CONNECTION_CLOSE]
+    event = h11.Response(status_code=response.status, headers=headers)
+    return (h11.Connection(h11.SERVER).send(event) or b"") + response.body
+
+
+def _length(body: bytes) -> Header:
+    return CONTENT_LENGTH, str(len(body)).encode()
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -7,21 +7,21 @@
 
 from ..telemetry.log import get_logger
 from ..verdict import Reason, Refusal, Verdict
+from .disconnect import DisconnectWatch
 from .drain import Drain
 from .errors import BadRequestError
 from .limits import HttpLimits
-from .message import CONTENT_LENGTH, Request, Response
-from .problem import malformed_response, refusal_response
+from .message import Request, Response
+from .problem import refusal_response
 from .request_reader import IncomingRequest, RequestReader
+from .response_writer import encode_interim, encode_refusal, encode_response
 
 Informational = Callable[[Response], Awaitable[None]]
 RequestHandler = Callable[[Request, Informational], Awaitable[Response]]
 
-_CONNECTION_CLOSE = (b"connection", b"close")
 _MS_PER_S = 1_000
 _LINGER_S = 0.5
 _LINGER_BYTES = 1_048_576
-_NO_BODY_STATUSES = (204, 304)
 
 log = get_logger(__name__)
 
@@ -37,123 +37,105 @@
     """Answer the requests of ``stream`` until it ends; then close it.
 
     ``handler`` sees whole and well-formed requests only. Anything else is answered
-    with a 4xx status and a closed connection. ``cancel_on_disconnect`` cancels the
-    handler when the client closes, at the price of one more task a request.
+    with a 4xx status and a closed connection. ``cancel_on_disconnect`` cancels a
+    handler soon after its client has closed.
     """
-    reader = RequestReader(stream=stream, limits=limits, drain=drain)
-    if cancel_on_disconnect:
-        handler = _cancelled_on_disconnect(handler, reader)
-    try:
-        async with stream:
-            while await _serve_one(stream, reader, handler, limits, drain):
-                pass
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        return
-
-
-async def _serve_one(
-    stream: trio.abc.Stream,
-    reader: RequestReader,
-    handler: RequestHandler,
-    limits: HttpLimits,
-    drain: Drain,
-) -> bool:
-    """Answer one request; return whether the connection may carry another."""
-    try:
-        incoming = await reader.read()
-    except BadRequestError as error:
-        await _refuse_and_linger(stream, error)
-        return False
-    if incoming is None:
-        return False
-    response = await _handle(stream, handler, incoming)
-    last = drain.started
-    try:
-        data = _encode(incoming, response, last)
-    except h11.LocalProtocolError:
-        log.exception("response can't be written", target=incoming.request.target)
-        return False
-    with trio.move_on_after(limits.write_ms / _MS_PER_S):
-        await stream.send_all(data)
-        return incoming.connection.our_state is not h11.MUST_CLOSE and not last
-    return False
+    async with stream, trio.open_nursery() as nursery:
+        connection = _Connection(
+            stream=stream, handler=handler, limits=limits, drain=drain
+        )
+        if cancel_on_disconnect:
+            nursery.start_soon(connection.watch.run)
+        await connection.serve()
+        nursery.cancel_scope.cancel()
+
+
+class _Connection:
+    """One connection and its timeouts, all of which use one cancel scope."""
+
+    def __init__(
+        self,
+        *,
+        stream: trio.abc.Stream,
+        handler: RequestHandler,
+        limits: HttpLimits,
+        drain: Drain,
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._drain = drain
+        self._scope = trio.CancelScope()
+        self._reader = RequestReader(
+            stream=stream, scope=self._scope, limits=limits, drain=drain
+        )
+        self.watch = DisconnectWatch(reader=self._reader, connection=self._scope)
+
+    async def serve(self) -> None:
+        """Answer requests until the connection is over."""
+        try:
+            with self._scope:
+                await self._serve_all()
+            if self._reader.is_late:
+                text = f"send the whole request within {self._limits.read_ms} ms"
+                await self._refuse_and_linger(BadRequestError(408, text))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
 
+    async def _serve_all(self) -> None:
+        try:
+            while (incoming := await self._reader.read()) is not None:
+                if not await self._serve_one(incoming):
+                    return
+        except BadRequestError as error:
+            self._reader.is_late = False
+            self._scope.deadline = trio.current_time() + _LINGER_S
+            await self._refuse_and_linger(error)
+
+    async def _serve_one(self, incoming: IncomingRequest) -> bool:
+        """Answer one request; return whether the connection may carry another."""
+        self.watch.start()
+        response = await self._handle(incoming)
+        await self.watch.stop()
+        last = self._drain.started
+        try:
+            data = encode_response(incoming, response, last)
+        except h11.LocalProtocolError:
+            log.exception("response can't be written", target=incoming.request.target)
+            return False
+        write_s = self._limits.write_ms / _MS_PER_S
+        self._scope.deadline = trio.current_time() + write_s
+        await self._stream.send_all(data)
+        return incoming.connection.our_state is not h11.MUST_CLOSE and not last
 
-async def _handle(
-    stream: trio.abc.Stream, handler: RequestHandler, incoming: IncomingRequest
-) -> Response:
-    async def informational(interim: Response) -> None:
-        if incoming.connection.their_http_version != b"1.1":
-            return
-        event = h11.InformationalResponse(
-            status_code=interim.status, headers=list(interim.headers)
-        )
-        await stream.send_all(incoming.connection.send(event) or b"")
-
-    try:
-        return await handler(incoming.request, informational)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        raise
-    except Exception:
-        # One request's fault must not take the process and all others with it.
-        log.exception("request handler failed", target=incoming.request.target)
-        refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.BACKEND_FAILED)
-        return refusal_response(refusal, status=500)
-
-
-def _cancelled_on_disconnect(
-    handler: RequestHandler, reader: RequestReader
-) -> RequestHandler:
-    async def handle(request: Request, informational: Informational) -> Response:
-        async with trio.open_nursery() as nursery:
-
-            async def watch() -> None:
-                await reader.wait_for_disconnect()
-                nursery.cancel_scope.cancel()
-
-            nursery.start_soon(watch)
-            response = await handler(request, informational)
-            nursery.cancel_scope.cancel()
-            return response
-        raise trio.ClosedResourceError("the client closed its connection")
-
-    return handle
-
-
-def _encode(incoming: IncomingRequest, response: Response, last: bool) -> bytes:
-    method = incoming.request.method
-    headers = list(response.headers)
-    has_body = response.status not in _NO_BODY_STATUSES and method != b"HEAD"
-    if has_body:
-        headers.append((CONTENT_LENGTH, str(len(response.body)).encode()))
-    if last:
-        headers.append(_CONNECTION_CLOSE)
-    event = h11.Response(status_code=response.status, headers=headers)
-    head = incoming.connection.send(event) or b""
-    return head + response.body if has_body else head
-
-
-async def _refuse_and_linger(stream: trio.abc.Stream, error: BadRequestError) -> None:
-    """Send a refusal, and read on until the client has had time to take it.
-
-    Closing while received bytes are unread makes the kernel reset the connection,
-    and the client would lose the refusal.
-    """
-    response = malformed_response(error.status, error.detail)
-    headers = [
-        *response.headers,
-        (CONTENT_LENGTH, str(len(response.body)).encode()),
-        _CONNECTION_CLOSE,
-    ]
-    event = h11.Response(status_code=response.status, headers=headers)
-    data = h11.Connection(h11.SERVER).send(event) or b""
-    with trio.move_on_after(_LINGER_S):
-        await stream.send_all(data + response.body)
-        if isinstance(stream, trio.abc.HalfCloseableStream):
-            await stream.send_eof()
-        received = 0
-        while received < _LINGER_BYTES:
-            chunk = await stream.receive_some()
-            if not chunk:
-                return
-            received += len(chunk)
+    async def _handle(self, incoming: IncomingRequest) -> Response:
+        async def informational(interim: Response) -> None:
+            if incoming.connection.their_http_version == b"1.1":
+                await self._stream.send_all(encode_interim(incoming, interim))
+
+        try:
+            return await self._handler(incoming.request, informational)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise
+        except Exception:
+            # One request's fault must not take the process and all others with it.
+            log.exception("request handler failed", target=incoming.request.target)
+            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.BACKEND_FAILED)
+            return refusal_response(refusal, status=500)
+
+    async def _refuse_and_linger(self, error: BadRequestError) -> None:
+        """Send a refusal, and read on until the client has had time to take it.
+
+        Closing while received bytes are unread makes the kernel reset the connection,
+        and the client would lose the refusal.
+        """
+        with trio.move_on_after(_LINGER_S):
+            await self._stream.send_all(encode_refusal(error))
+            if isinstance(self._stream, trio.abc.HalfCloseableStream):
+                await self._stream.send_eof()
+            received = 0
+            while received < _LINGER_BYTES:
+                chunk = await self._stream.receive_some()
+                if not chunk:
+                    return
+                received += len(chunk)
