--- a/tests/cover/test_http_drain.py
+++ b/tests/cover/test_http_drain.py
@@ -53,6 +53,7 @@
 
     async def main():
         client, server = trio.testing.memory_stream_pair()
+        started_s = trio.current_time()
         async with trio.open_nursery() as nursery:
 
             async def serve():
@@ -65,9 +66,11 @@
                 )
 
             nursery.start_soon(serve)
+            nursery.cancel_scope.deadline = trio.current_time() + 60
             await client.send_all(REQUEST)
             await trio.testing.wait_all_tasks_blocked()
             await client.aclose()
+        assert trio.current_time() - started_s < 1
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert cancelled == [b"/"]
