--- a/src/jacinthshed/internal/telemetry/metrics.py
+++ b/src/jacinthshed/internal/telemetry/metrics.py
@@ -1,6 +1,7 @@
 """Counters, timers and gauges, sent to statsd in batches."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import statsd
@@ -10,6 +11,8 @@
 MAX_TIMINGS = 256
 MAX_PACKET_BYTES = 1_400
 
+ReadGauges = Callable[[], Mapping[str, float]]
+
 
 class Pipeline(Protocol):
     """The part of a statsd pipeline that is used here."""
@@ -73,9 +76,17 @@
 
 
 async def send_metrics(
-    metrics: Metrics, *, host: str, port: int, prefix: str = "jacinthshed"
+    metrics: Metrics,
+    *,
+    host: str,
+    port: int,
+    prefix: str = "jacinthshed",
+    read_gauges: ReadGauges = dict,
 ) -> None:
-    """Send ``metrics`` to statsd over UDP each second, until cancelled."""
+    """Send ``metrics`` to statsd over UDP each second, until cancelled.
+
+    ``read_gauges`` gives the values of gauges at the moment of each flush.
+    """
     client = statsd.StatsClient(
         host=host,
         port=port,
@@ -86,6 +97,8 @@
     try:
         while True:
             await trio.sleep(FLUSH_INTERVAL_S)
+            for name, value in read_gauges().items():
+                metrics.gauge(name, value)
             metrics.flush(client.pipeline())
     finally:
         metrics.flush(client.pipeline())
--- a/tests/cover/test_telemetry.py
+++ b/tests/cover/test_telemetry.py
@@ -7,8 +7,10 @@
 import trio.testing
 from hypothesis import given, strategies as st
 
+from jacinthshed import Reason, Verdict
+from jacinthshed.internal.telemetry.counted import counted
 from jacinthshed.internal.telemetry.log import configure_logging, decision, get_logger
-from jacinthshed.internal.telemetry.metrics import MAX_TIMINGS, Metrics
+from jacinthshed.internal.telemetry.metrics import MAX_TIMINGS, Metrics, send_metrics
 from jacinthshed.internal.telemetry.sampling import is_sampled
 from jacinthshed.internal.telemetry.sink import LogSink
 
@@ -106,3 +108,49 @@
     assert pipeline.timings == {"request_ms": MAX_TIMINGS}
     assert pipeline.gauges == {"in_flight": MAX_TIMINGS * 3 - 1}
     assert pipeline.sends == 2
+
+
+def test_a_decision_is_counted_even_when_it_is_not_logged():
+    metrics = Metrics()
+    pipeline = RecordingPipeline()
+    logged = []
+    log = counted(metrics, log=lambda event, **fields: logged.append(event))
+    log("request_ended", verdict=Verdict.NOT_RUN, reason=Reason.SHED, elapsed_ms=2.5)
+    log("request_ended", verdict=Verdict.RAN, reason="", elapsed_ms=9.0)
+    log("platform_failed", reason="some text of any length")
+    metrics.flush(pipeline)
+    assert pipeline.counts == {
+        "request_ended": 2,
+        "request_ended.not-run": 1,
+        "request_ended.shed": 1,
+        "request_ended.ran": 1,
+        "platform_failed": 1,
+    }
+    assert pipeline.timings == {"request_ended.elapsed_ms": 2}
+    assert len(logged) == 3
+
+
+def test_metrics_go_out_over_udp():
+    received = []
+
+    async def main():
+        server = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        await server.bind(("127.0.0.1", 0))
+        host, port = server.getsockname()
+        metrics = Metrics()
+        metrics.increment("requests", 3)
+        async with trio.open_nursery() as nursery:
+
+            async def send():
+                await send_metrics(
+                    metrics, host=host, port=port, read_gauges=lambda: {"queue": 7}
+                )
+
+            nursery.start_soon(send)
+            with trio.fail_after(10):
+                received.append((await server.recv(2_000)).decode())
+            nursery.cancel_scope.cancel()
+        server.close()
+
+    trio.run(main)
+    assert received == ["jacinthshed.requests:3|c\njacinthshed.queue:7|g"]
