--- a/src/jacinthshed/internal/caller/caller.py
+++ b/src/jacinthshed/internal/caller/caller.py
@@ -157,6 +157,9 @@
             return _settled(outcome, record, may_have_run_before)
         if not outcome.sent:
             record.may_have_run = may_have_run_before
+        if outcome.unwritable:
+            verdict = record.local_verdict
+            return Failure(Refusal(verdict, Reason.MALFORMED, detail=outcome.reason))
         return self._turn_from_lost_entry(submission, outcome)
 
     def _turn_from_lost_entry(
--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -105,7 +105,8 @@
         except BadResponseError as error:
             return ExchangeFailed(connection.sent, str(error))
         except h11.LocalProtocolError as error:
-            return ExchangeFailed(False, f"the request can't be written: {error}")
+            text = f"the request can't be written: {error}"
+            return ExchangeFailed(False, text, unwritable=True)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return ExchangeFailed(connection.sent, "the connection broke")
         finally:
--- /dev/null
+++ b/src/jacinthshed/internal/http/connection_limit.py
@@ -0,0 +1,51 @@
+"""Keeps the connections of one listener from taking the process's descriptors."""
+
+import trio
+
+from ..verdict import Reason, Refusal, Verdict
+from .network import StreamHandler
+from .problem import refusal_response
+from .response_writer import encode_last
+
+_RETRY_AFTER_MS = 1_000
+_SEND_LIMIT_S = 0.1
+
+
+def limit_connections(handler: StreamHandler, *, max_connections: int) -> StreamHandler:
+    """Return ``handler`` for up to ``max_connections`` connections at once.
+
+    A connection above that gets a refusal with the verdict ``not-run`` and is closed,
+    before anything is read from it.
+    """
+    open_connections = 0
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        nonlocal open_connections
+        if open_connections >= max_connections:
+            await _refuse(stream)
+            return
+        open_connections += 1
+        try:
+            await handler(stream)
+        finally:
+            open_connections -= 1
+
+    return handle
+
+
+async def _refuse(stream: trio.abc.Stream) -> None:
+    try:
+        with trio.move_on_after(_SEND_LIMIT_S):
+            await stream.send_all(_REFUSAL)
+            await stream.aclose()
+    except trio.BrokenResourceError:
+        return
+
+
+def _refusal() -> bytes:
+    detail = "this listener has no connection free; use open connections again"
+    refusal = Refusal(Verdict.NOT_RUN, Reason.SHED, _RETRY_AFTER_MS, detail)
+    return encode_last(refusal_response(refusal))
+
+
+_REFUSAL = _refusal()
--- a/src/jacinthshed/internal/http/outcome.py
+++ b/src/jacinthshed/internal/http/outcome.py
@@ -9,11 +9,13 @@
     """No whole response came.
 
     ``sent`` is false only when not one byte of the request was handed to a
-    connection, so that the request can't have run.
+    connection, so that the request can't have run. ``unwritable`` tells that the
+    request itself is at fault, so that no other connection would help.
     """
 
     sent: bool
     reason: str
+    unwritable: bool = False
 
 
 Outcome = Response | ExchangeFailed
--- a/src/jacinthshed/internal/http/response_writer.py
+++ b/src/jacinthshed/internal/http/response_writer.py
@@ -2,9 +2,7 @@
 
 import h11
 
-from .errors import BadRequestError
 from .message import CONTENT_LENGTH, Header, Response
-from .problem import malformed_response
 from .request_reader import IncomingRequest
 
 _CONNECTION_CLOSE = (b"connection", b"close")
@@ -37,9 +35,8 @@
     return incoming.connection.send(event) or b""
 
 
-def encode_refusal(error: BadRequestError) -> bytes:
-    """Return the response to bytes that never became a request."""
-    response = malformed_response(error.status, error.detail)
+def encode_last(response: Response) -> bytes:
+    """Return a response that isn't to a request, and after which the server closes."""
     headers = [*response.headers, _length(response.body), _CONNECTION_CLOSE]
     event = h11.Response(status_code=response.status, headers=headers)
     return (h11.Connection(h11.SERVER).send(event) or b"") + response.body
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -12,9 +12,9 @@
 from .errors import BadRequestError
 from .limits import HttpLimits
 from .message import Request, Response
-from .problem import refusal_response
+from .problem import malformed_response, refusal_response
 from .request_reader import IncomingRequest, RequestReader
-from .response_writer import encode_interim, encode_refusal, encode_response
+from .response_writer import encode_interim, encode_last, encode_response
 
 Informational = Callable[[Response], Awaitable[None]]
 RequestHandler = Callable[[Request, Informational], Awaitable[Response]]
@@ -130,7 +130,9 @@
         and the client would lose the refusal.
         """
         with trio.move_on_after(_LINGER_S):
-            await self._stream.send_all(encode_refusal(error))
+            await self._stream.send_all(
+                encode_last(malformed_response(error.status, error.detail))
+            )
             if isinstance(self._stream, trio.abc.HalfCloseableStream):
                 await self._stream.send_eof()
             received = 0
--- a/tests/cover/test_caller.py
+++ b/tests/cover/test_caller.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings, strategies as st
 from returns.result import Success
 
-from jacinthshed import Verdict
+from jacinthshed import Reason, Verdict
 from jacinthshed.internal.caller.caller import Caller
 from tests.common.entry import Fate, ScriptedEntry
 from tests.common.http import memory_network
@@ -151,3 +151,17 @@
             nursery.cancel_scope.cancel()
 
     trio.run(all_of_it, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_request_that_cannot_be_written_is_the_fault_of_no_entry():
+    entry = ScriptedEntry(script=[])
+
+    async def main(caller):
+        bad = [(b"x", b"a\r\nJacinthshed-Fence: f1")]
+        result = await caller.request("POST", "/refunds", headers=bad)
+        assert verdict_of(result) is Verdict.NOT_RUN
+        assert result.failure().reason is Reason.MALFORMED
+        assert verdict_of(await caller.request("POST", "/refunds")) is Verdict.RAN
+
+    run_with_entry(entry, main)
+    assert entry.copies == 1
--- a/tests/cover/test_http_drain.py
+++ b/tests/cover/test_http_server.py
@@ -1,11 +1,12 @@
 import trio
 import trio.testing
 
+from jacinthshed.internal.http.connection_limit import limit_connections
 from jacinthshed.internal.http.drain import Drain
 from jacinthshed.internal.http.limits import HttpLimits
 from jacinthshed.internal.http.message import Response
 from jacinthshed.internal.http.server import serve_connection
-from tests.common.http import receive_all
+from tests.common.http import memory_network, receive_all
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -100,3 +101,31 @@
     assert received.count(b"HTTP/1.1 500") == 1
     assert b"jacinthshed-verdict: may-have-run" in received
     assert received.count(b"HTTP/1.1 200") == 1
+
+
+def test_connections_above_the_limit_are_refused_and_others_served():
+    async def quick(request, informational):
+        return Response(200)
+
+    async def main():
+        async def connected(stream):
+            await serve_connection(stream, quick, limits=HttpLimits(), drain=Drain())
+
+        limited = limit_connections(connected, max_connections=2)
+        network = memory_network()
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(network.listen, "10.0.0.1:1", limited)
+            first, second, third = [await network.connect(address) for _ in range(3)]
+            refused = await receive_all(third)
+            assert refused.startswith(b"HTTP/1.1 503")
+            assert b"jacinthshed-verdict: not-run" in refused
+            await first.send_all(REQUEST)
+            assert (await first.receive_some()).startswith(b"HTTP/1.1 200")
+            await second.aclose()
+            await trio.testing.wait_all_tasks_blocked()
+            fourth = await network.connect(address)
+            await fourth.send_all(REQUEST)
+            assert (await fourth.receive_some()).startswith(b"HTTP/1.1 200")
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
