--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -1,5 +1,6 @@
 """Reads whole requests from one connection."""
 
+import math
 from typing import NamedTuple
 
 import h11
@@ -7,7 +8,7 @@
 
 from .drain import Drain
 from .errors import BadRequestError
-from .head import HEAD_END, body_length, check_start, parse_head
+from .head import HEAD_END, check_start, parse_head
 from .limits import HttpLimits
 from .message import Request, without_connection_fields
 
@@ -23,11 +24,21 @@
 
 
 class RequestReader:
-    """Bytes that were received on a connection and are not yet part of a request."""
+    """Bytes that were received on a connection and are not yet part of a request.
+
+    ``scope`` is the connection's: its deadline bounds each wait for the client.
+    """
 
     def __init__(
-        self, *, stream: trio.abc.Stream, limits: HttpLimits, drain: Drain
+        self,
+        *,
+        stream: trio.abc.Stream,
+        scope: trio.CancelScope,
+        limits: HttpLimits,
+        drain: Drain,
     ) -> None:
+        self.is_partial = False
+        self._scope = scope
         self._stream = stream
         self._limits = limits
         self._drain = drain
@@ -36,38 +47,44 @@
     async def read(self) -> IncomingRequest | None:
         """Return the next request, or ``None`` when the connection is over.
 
-        Raises ``BadRequestError`` for anything else than a whole request in time.
+        When a request takes too long, the scope's deadline passes while
+        ``is_partial`` is true. Raises ``BadRequestError`` for anything else than a
+        whole request.
         """
-        with trio.CancelScope() as scope:
-            if not await self._wait_for_start(scope):
-                return None
-            scope.deadline = trio.current_time() + self._limits.read_ms / _MS_PER_S
-            return await self._read_whole()
-        if not self._received:
+        if not await self._wait_for_start():
             return None
-        raise BadRequestError(
-            408, f"send the whole request within {self._limits.read_ms} ms"
-        )
+        incoming = await self._read_whole()
+        # A deadline that has passed by now would cancel the handler half-way.
+        if self._scope.cancel_called:
+            await trio.lowlevel.checkpoint()
+        self._scope.deadline = math.inf
+        self.is_partial = False
+        return incoming
 
     async def wait_for_disconnect(self) -> None:
         """Return when the client closes; keep what it sends until then.
 
         A client that sends more than one head ahead is not read any further.
         """
-        while len(self._received) <= self._limits.head_bytes:
-            if not await self._receive():
-                return
+        try:
+            while len(self._received) <= self._limits.head_bytes:
+                if not await self._receive():
+                    return
+        except trio.BrokenResourceError:
+            return
         await trio.sleep_forever()
 
-    async def _wait_for_start(self, scope: trio.CancelScope) -> bool:
+    async def _wait_for_start(self) -> bool:
+        """Wait for the first byte of a request; return whether one came."""
         if self._received:
             return True
-        scope.deadline = trio.current_time() + self._limits.idle_ms / _MS_PER_S
-        self._drain.enter_idle(scope)
+        idle_s = self._limits.idle_ms / _MS_PER_S
+        self._scope.deadline = trio.current_time() + idle_s
+        self._drain.enter_idle(self._scope)
         try:
             return await self._receive()
         finally:
-            self._drain.leave_idle(scope)
+            self._drain.leave_idle(self._scope)
 
     async def _receive(self) -> bool:
         """Receive some bytes; return whether there were any."""
@@ -80,10 +97,10 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
         )
-        event = parse_head(head, connection)
-        body = await self._read_body(event, connection)
-        headers = without_connection_fields(event.headers)
-        request = Request(event.method, event.target, headers, body)
+        parsed = parse_head(head, connection)
+        body = await self._read_body(parsed.body_length, connection)
+        headers = without_connection_fields(parsed.headers)
+        request = Request(parsed.method, parsed.target, headers, body)
         return IncomingRequest(request, connection)
 
     async def _read_head(self) -> bytes:
@@ -103,8 +120,7 @@
             )
         return self._take(end + len(HEAD_END))
 
-    async def _read_body(self, event: h11.Request, connection: h11.Connection) -> bytes:
-        length = body_length(event)
+    async def _read_body(self, length: int | None, connection: h11.Connection) -> bytes:
         if length == 0:
             return b""
         if length is not None and length > self._limits.body_bytes:
@@ -159,6 +175,11 @@
         await self._stream.send_all(data)
 
     async def _receive_more(self) -> None:
+        if not self.is_partial:
+            # Set here only, as most requests arrive with their first bytes.
+            read_s = self._limits.read_ms / _MS_PER_S
+            self._scope.deadline = trio.current_time() + read_s
+            self.is_partial = True
         if not await self._receive():
             raise BadRequestError(400, "the connection closed inside a request")
 
