--- a/tests/common/order_client.py
+++ b/tests/common/order_client.py
@@ -20,10 +20,8 @@
 
     async def send(self, entry, *, keep_fence):
         """Send one copy through ``entry`` and note its verdict."""
-        if self.sent == 0:
-            fence = "new"
-        else:
-            fence = self.fence if keep_fence else ""
+        held = self.fence if keep_fence else ""
+        fence = "new" if self.sent == 0 else held
         self.sent += 1
         self.outstanding += 1
         headers = [(b"host", b"callers"), (b"idempotency-key", self.key.encode())]
