--- /dev/null
+++ b/benchmarks/measures/deployment.py
@@ -0,0 +1,81 @@
+"""The two deployments, with service times scaled so that events stay countable."""
+
+from typing import NamedTuple
+
+
+class ServiceSpec(NamedTuple):
+    """One service: slots of each target, and its own mean time for a call."""
+
+    slots: int
+    own_ms: float
+
+
+class RouteSpec(NamedTuple):
+    """One kind of root request: the services it crosses, in order of nesting.
+
+    ``rate_per_s`` is the demand at 1 time, where the scarcest service is just full.
+    """
+
+    rank: int
+    path: tuple[str, ...]
+    rate_per_s: float
+
+
+class Deployment(NamedTuple):
+    """Sizes, links and demand. All times are one way, in milliseconds."""
+
+    name: str
+    zones: tuple[str, ...]
+    services: dict[str, ServiceSpec]
+    routes: dict[str, RouteSpec]
+    deepest: str
+    zone_delay_ms: float
+    client_delay_ms: float
+
+
+JITTER_SHARE = 0.2
+LOSS = 0.002
+RETRANSMIT_MS = 200.0
+DEADLINE_MS = 3_000.0
+
+PAMPA = Deployment(
+    name="pampa",
+    zones=("pampa-a", "pampa-b", "pampa-c", "pampa-d"),
+    services={
+        "clocks": ServiceSpec(50, 50.0),
+        "orders": ServiceSpec(50, 50.0),
+        "parts": ServiceSpec(50, 50.0),
+        "crews": ServiceSpec(10, 100.0),
+    },
+    routes={
+        "push-schedule": RouteSpec(1, ("clocks", "orders", "parts", "crews"), 20.0),
+        "book-repair": RouteSpec(2, ("orders", "parts", "crews"), 80.0),
+        "read-history": RouteSpec(3, ("clocks", "orders"), 300.0),
+        "find-crew": RouteSpec(4, ("parts", "crews"), 300.0),
+    },
+    deepest="crews",
+    zone_delay_ms=5.0,
+    client_delay_ms=1.0,
+)
+
+WESTERN_LK = Deployment(
+    name="western-lk",
+    zones=("colombo-a", "colombo-b", "gampaha"),
+    services={
+        "booking": ServiceSpec(100, 50.0),
+        "ledger": ServiceSpec(100, 50.0),
+        "inventory": ServiceSpec(100, 50.0),
+        "tracking": ServiceSpec(35, 100.0),
+    },
+    routes={
+        "book-slot": RouteSpec(1, ("booking", "inventory", "tracking"), 60.0),
+        "refund": RouteSpec(2, ("booking", "ledger", "inventory", "tracking"), 190.0),
+        "refund-status": RouteSpec(3, ("ledger", "tracking"), 400.0),
+        "find-stock": RouteSpec(4, ("inventory", "tracking"), 400.0),
+    },
+    deepest="tracking",
+    zone_delay_ms=3.5,
+    client_delay_ms=8.0,
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (PAMPA, WESTERN_LK)}
--- /dev/null
+++ b/benchmarks/measures/target.py
@@ -0,0 +1,159 @@
+"""A target: admission in front of a backend server with slots."""
+
+from jacinthshed.internal.admission import (
+    Admission,
+    Outcome,
+    Start,
+    Work,
+    stricter,
+)
+from jacinthshed.internal.bundle.model import AdmissionPolicy
+
+from .fifo import Fifo
+from .model import Attempt, Hop, Reply
+
+FAR_MS = 1e12
+
+
+class Job:
+    """An attempt that waits or runs at a target."""
+
+    __slots__ = ("attempt", "calls_done", "nested_ms", "started_ms")
+
+    def __init__(self, attempt: Attempt) -> None:
+        self.attempt = attempt
+        self.started_ms = 0.0
+        self.nested_ms = 0.0
+        self.calls_done = 0
+
+
+class Target:
+    """One host: its backend server, and the decisions of its node about it."""
+
+    def __init__(self, world, name: str, service: str, zone: str) -> None:
+        self.world = world
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.node = world.new_node(name, zone)
+        self._jobs: dict[int, Job] = {}
+        self._tickets = 0
+        self._expiry_ms: float | None = None
+        self._gate = _new_gate(world, service)
+
+    @property
+    def reachable(self) -> bool:
+        case = self.world.case
+        lasting = case.start_ms <= self.world.clock.now_ms < case.end_ms
+        gone = case.zone_gone and self.zone == self.world.deployment.zones[0]
+        return not (gone and lasting)
+
+    def receive(self, attempt: Attempt) -> None:
+        """Take in one attempt."""
+        if not self.reachable:
+            return
+        self._tickets += 1
+        ticket = self._tickets
+        self._jobs[ticket] = Job(attempt)
+        hop, stack = attempt.hop, self.world.stack
+        work = Work(
+            ticket,
+            hop.root.rank,
+            hop.invested if stack.invested else 0,
+            self.world.hash_of(hop.root),
+            hop.deadline_at_ms if stack.queue_deadlines else FAR_MS,
+        )
+        self.node.ledger.open(attempt.id, attempt.allowance)
+        self._take(self._gate.offer(self.world.clock.now_ms, work, hop.name))
+
+    def _take(self, decisions) -> None:
+        for decision in decisions:
+            if isinstance(decision, Start):
+                self._start(decision.ticket)
+            else:
+                self._answer(self._jobs.pop(decision.ticket), False, decision.reason)
+        self._plan_expiry()
+
+    def _plan_expiry(self) -> None:
+        next_ms = self._gate.next_expiry_ms()
+        if next_ms is not None and next_ms != self._expiry_ms:
+            self._expiry_ms = next_ms
+            delay_ms = max(0.0, next_ms - self.world.clock.now_ms)
+            self.world.clock.after(delay_ms, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry_ms = None
+        self._take(self._gate.expire(self.world.clock.now_ms))
+
+    def _start(self, ticket: int) -> None:
+        job = self._jobs[ticket]
+        job.started_ms = self.world.clock.now_ms
+        own_ms = self.world.own_ms(self.service)
+        job.attempt.hop.root.work_ms += own_ms
+        self.world.clock.after(own_ms, self._after_own_work, ticket)
+
+    def _after_own_work(self, ticket: int) -> None:
+        job = self._jobs[ticket]
+        hop = job.attempt.hop
+        if hop.is_last:
+            self._finish(ticket, True, "")
+            return
+        asked_ms = self.world.clock.now_ms
+
+        def done(ok: bool, reason: str, calls_done: int) -> None:
+            job.nested_ms = self.world.clock.now_ms - asked_ms
+            job.calls_done = calls_done
+            self._finish(ticket, ok, reason)
+
+        invested = hop.invested + 1
+        nested = Hop(
+            hop.root,
+            hop.depth + 1,
+            job.attempt.id,
+            invested,
+            hop.deadline_at_ms,
+            done,
+        )
+        self.node.call(nested)
+
+    def _finish(self, ticket: int, ok: bool, reason: str) -> None:
+        job = self._jobs.pop(ticket)
+        now_ms = self.world.clock.now_ms
+        outcome = Outcome.OK if ok else Outcome.FAILED
+        latency_ms = now_ms - job.started_ms
+        decisions = self._gate.finish(
+            now_ms, ticket, latency_ms, outcome, job.nested_ms
+        )
+        self._answer(
+            job, ok, reason and f"below:{reason}".replace("below:below", "below")
+        )
+        self._take(decisions)
+
+    def _answer(self, job: Job, ok: bool, reason: str) -> None:
+        if not self.reachable:
+            return
+        now_ms = self.world.clock.now_ms
+        hop = job.attempt.hop
+        level = self._gate.level(now_ms)
+        if not hop.is_last:
+            below = ">".join(hop.root.path[hop.depth + 1 :])
+            level = stricter(level, self.node.levels.strictest(now_ms, (below,)))
+        reply = Reply(
+            ok,
+            str(reason),
+            self.node.ledger.close(job.attempt.id),
+            job.calls_done + ok,
+            self._gate.load,
+            level,
+        )
+        job.attempt.reply(self.name, reply)
+
+
+def _new_gate(world, service: str) -> Admission | Fifo:
+    slots = world.deployment.services[service].slots
+    stack = world.stack
+    queue = int(slots * stack.queue_factor)
+    if not stack.admission:
+        return Fifo(slots=slots, queue=queue)
+    policy = AdmissionPolicy(min_limit=1 if stack.adaptive else slots)
+    return Admission(slots=slots, queue=queue, policy=policy)
