Shed levels never shed what would go before half the queue

Cause: with a full queue the window's quantile fell to the most important arrival, so that rank 1 was refused by level.

--- a/src/jacinthshed/internal/admission/admission.py
+++ b/src/jacinthshed/internal/admission/admission.py
@@ -208,4 +208,11 @@
 
     def _renew_level(self, now_ms: float) -> None:
         half_full = self._limit.value + self._queue.capacity // 2
-        self._control.renew(now_ms, half_full - len(self._running) - len(self._queue))
+        free = half_full - len(self._running) - len(self._queue)
+        self._control.renew(now_ms, free, self._level_floor())
+
+    def _level_floor(self) -> ShedLevel:
+        middle = self._queue.order_at(self._queue.capacity // 2)
+        if middle is None:
+            return ALL_SHED
+        return ShedLevel(middle.rank, middle.root_hash)
--- a/src/jacinthshed/internal/admission/level_control.py
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -40,11 +40,13 @@
         """Remember that work was refused for load in this window."""
         self._shed = True
 
-    def renew(self, now_ms: float, free: int) -> None:
+    def renew(self, now_ms: float, free: int, floor: ShedLevel) -> None:
         """Close the window, if it is over.
 
         ``free`` is how many more entries would bring the queue to half its capacity,
-        slots included; it is negative when the queue is longer than that.
+        slots included; it is negative when the queue is longer than that. Work below
+        ``floor`` would find a place in the first half of the queue, in front of what
+        waits there now, so that it is never shed.
         """
         if self._window_ends_ms is None:
             self._window_ends_ms = now_ms + WINDOW_MS
@@ -53,6 +55,7 @@
         wanted = max(0, self._finished + free)
         if self._shed or self.level != NOTHING_SHED:
             self._move(now_ms, wanted)
+            self.level = max(self.level, floor)
         self._arrivals.clear()
         self._finished = 0
         self._shed = False
--- a/src/jacinthshed/internal/admission/queue.py
+++ b/src/jacinthshed/internal/admission/queue.py
@@ -46,6 +46,10 @@
             self._expiries = [e for e in self._expiries if e[1] in self._work]
             heapq.heapify(self._expiries)
 
+    def order_at(self, place: int) -> WorkOrder | None:
+        """Return the sort key of the entry at a place, counted from the first."""
+        return self._order[place] if place < len(self._order) else None
+
     def lowest(self) -> Work:
         """Return the entry that would be shed first."""
         return self._work[self._order[-1].ticket]
