--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -106,6 +106,8 @@
             return []
         want_all = not self.is_joined or self._reconciliation.asks_all(now_ms)
         records = self._rumors.take(self._view, 1)
+        if want_all:
+            records += (self._view.self_record,)
         return [(peer, self._message(records, want_all=want_all))]
 
     def _forward(self, now_ms: float, sender: str = "") -> Outbox:
@@ -139,7 +141,8 @@
             elif gossip.want_all and self._reconciliation.gives_all(now_ms):
                 return [(sender, self._message(self._view.records()))]
             elif self._reconciliation.differed(now_ms, self._view):
-                records += self._view.recent(MAX_RECORDS)
+                records += self._view.recent(MAX_RECORDS - 1)
+                records.append(self._view.self_record)
                 must_answer = True
         return self._answers(sender, records, must_answer)
 
--- a/src/jacinthshed/internal/membership/link_health.py
+++ b/src/jacinthshed/internal/membership/link_health.py
@@ -37,7 +37,6 @@
     def received(self, now_ms: float) -> None:
         """Note that a frame came in, of whatever kind."""
         self._heard_ms = now_ms
-        self._heartbeat_ms = now_ms
         self._asked_ms = now_ms if self.outstanding else None
 
     def due_heartbeat(self, now_ms: float) -> bool:
@@ -45,10 +44,11 @@
 
         Any frame from the peer shows that the link works, so a busy link needs none.
         """
-        interval_ms = self._policy.heartbeat_ms
-        if not self._is_waiting():
-            interval_ms *= IDLE_FACTOR
-        return now_ms - max(self._heard_ms, self._heartbeat_ms) >= interval_ms
+        if self._asked_ms is None:
+            idle_ms = now_ms - max(self._heard_ms, self._heartbeat_ms)
+            return idle_ms >= IDLE_FACTOR * self._policy.heartbeat_ms
+        waiting_ms = now_ms - max(self._asked_ms, self._heartbeat_ms)
+        return waiting_ms >= self._policy.heartbeat_ms
 
     def is_silent(self, now_ms: float) -> bool:
         """Return whether the peer owes a frame for longer than it may take."""
@@ -59,6 +59,3 @@
     def _ask(self, now_ms: float) -> None:
         if self._asked_ms is None:
             self._asked_ms = now_ms
-
-    def _is_waiting(self) -> bool:
-        return self._asked_ms is not None
--- a/src/jacinthshed/internal/membership/reconciliation.py
+++ b/src/jacinthshed/internal/membership/reconciliation.py
@@ -9,6 +9,7 @@
 # asked for.
 WINDOW_TRIES = 4
 FULL_INTERVAL_MS = 10_000.0
+MAX_FULL_INTERVAL_MS = 600_000.0
 
 
 class Reconciliation:
@@ -25,12 +26,14 @@
         self._tries = 0
         self._answered_ms = float("-inf")
         self._asked_all_ms = float("-inf")
+        self._full_interval_ms = FULL_INTERVAL_MS
         self._gave_all_ms = float("-inf")
 
     def agreed(self) -> None:
         """Note that a peer's digest equals the own one."""
         self._differing_since_ms = None
         self._tries = 0
+        self._full_interval_ms = FULL_INTERVAL_MS
 
     def differed(self, now_ms: float, view: View) -> bool:
         """Note that digests differ; return whether recent records are to be sent.
@@ -50,12 +53,17 @@
         return True
 
     def asks_all(self, now_ms: float) -> bool:
-        """Return whether to ask the next peer for its whole view."""
+        """Return whether to ask the next peer for its whole view.
+
+        Where even whole copies don't make views equal, as between releases that order
+        records differently, they are asked for ever more rarely.
+        """
         if self._tries < WINDOW_TRIES:
             return False
-        if now_ms - self._asked_all_ms < FULL_INTERVAL_MS:
+        if now_ms - self._asked_all_ms < self._full_interval_ms:
             return False
         self._asked_all_ms = now_ms
+        self._full_interval_ms = min(2 * self._full_interval_ms, MAX_FULL_INTERVAL_MS)
         self._tries = 0
         return True
 
--- /dev/null
+++ b/tests/cover/test_gossip_spread.py
@@ -0,0 +1,79 @@
+"""How fast news reach everyone, in virtual time and with loss."""
+
+import pytest
+
+from jacinthshed.internal.bundle.order import BundleOrder
+from jacinthshed.internal.wire.frames import Leaving
+
+from ..common.members import Fleet, fleet_records, listed
+
+HOSTS = 60
+LEAVE_LIMIT_MS = 3_000
+BUNDLE_LIMIT_MS = 14_000
+SERVICES = ("ledger", "booking", "stock")
+
+
+def settled_fleet(seed):
+    """Return a fleet whose views agree."""
+    records = fleet_records(HOSTS, services=SERVICES)
+    fleet = Fleet(records, seed=seed)
+    for node in fleet.nodes.values():
+        node.view.merge(0.0, records)
+    fleet.run(5_000)
+    assert len(fleet.digests()) == 1
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("has_stale_list", [True, False])
+def test_no_node_routes_to_a_host_three_seconds_after_it_left(seed, has_stale_list):
+    fleet = settled_fleet(seed)
+    leaver = fleet.nodes["host-7"]
+    record = leaver.view.leave(fleet.now_ms)
+    fleet.post("host-7", leaver.gossiper.announce(fleet.now_ms, [record]))
+    links = fleet.random.sample(sorted(fleet.nodes.keys() - {"host-7"}), 10)
+    fleet.post("host-7", [(link, Leaving("host-7", 1)) for link in links])
+    stale = [listed(node.view.self_record) for node in fleet.nodes.values()]
+    for _ in range(LEAVE_LIMIT_MS // 500):
+        fleet.run(500, loss=0.1)
+        if has_stale_list:
+            for node in fleet.nodes.values():
+                node.view.apply_host_list(fleet.now_ms, stale)
+    for node in fleet.nodes.values():
+        members = {r.host for r in node.view.members(record.service)}
+        assert "host-7" not in members
+    for _ in range(54):
+        fleet.run(500, loss=0.1)
+        assert not any(n.view.is_routable("host-7") for n in fleet.nodes.values())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_bundle_is_known_everywhere_in_time(seed):
+    fleet = settled_fleet(seed)
+    order = BundleOrder(7, b"digest")
+    fleet.nodes["host-3"].order = order
+    fleet.run(BUNDLE_LIMIT_MS, loss=0.3)
+    assert {node.order for node in fleet.nodes.values()} == {order}
+
+
+def test_a_restarted_node_learns_all_from_a_few_contacts():
+    fleet = settled_fleet(0)
+    fleet.listed = fleet.listed[:3]
+    record = fleet.nodes["host-9"].view.self_record
+    fleet.start(record._replace(incarnation=2))
+    fleet.run(5_000)
+    assert fleet.nodes["host-9"].gossiper.is_joined
+    assert len(fleet.digests()) == 1
+
+
+def test_a_quiet_fleet_sends_one_frame_a_round():
+    fleet = settled_fleet(0)
+    frames = 0
+    for _ in range(100):
+        fleet.tick()
+        frames += len(fleet.bag)
+        for item in fleet.bag[:]:
+            fleet.deliver(item)
+            fleet.bag.remove(item)
+        assert fleet.bag == []
+    assert frames <= 1.3 * 10 * HOSTS
--- /dev/null
+++ b/tests/cover/test_membership_failure.py
@@ -0,0 +1,129 @@
+"""Silent links, pauses, and what is declared about hosts that can't be reached."""
+
+from hypothesis import given, strategies as st
+
+from jacinthshed.internal.bundle.model import MembershipPolicy
+from jacinthshed.internal.membership.failure import FailureTracker
+from jacinthshed.internal.membership.link_health import LinkHealth
+from jacinthshed.internal.membership.pause import PauseDetector
+from jacinthshed.internal.membership.view import View
+from jacinthshed.internal.wire.frames import Leaving
+
+from ..common.members import fleet_records, listed, member
+
+POLICY = MembershipPolicy()
+STEP_MS = 100.0
+
+
+def run_link(steps, *, outstanding, peer_answers):
+    """Return the heartbeats sent and whether the link was ever silent."""
+    link = LinkHealth(now_ms=0.0, policy=POLICY)
+    if outstanding:
+        link.sent(0.0)
+    heartbeats, was_silent = 0, False
+    for step in range(1, steps + 1):
+        now_ms = step * STEP_MS
+        was_silent |= link.is_silent(now_ms)
+        if link.due_heartbeat(now_ms):
+            heartbeats += 1
+            link.heartbeat_sent(now_ms)
+            if peer_answers:
+                link.received(now_ms + STEP_MS / 2)
+    return heartbeats, was_silent
+
+
+def test_an_idle_link_is_never_silent_and_costs_few_heartbeats():
+    heartbeats, was_silent = run_link(600, outstanding=False, peer_answers=True)
+    assert not was_silent
+    assert heartbeats <= 6
+
+
+def test_a_slow_request_does_not_make_a_link_silent():
+    _, was_silent = run_link(300, outstanding=True, peer_answers=True)
+    assert not was_silent
+
+
+@given(st.booleans())
+def test_a_dead_link_is_silent(outstanding):
+    idle_ms = 0.0 if outstanding else 20 * POLICY.heartbeat_ms
+    steps = int((idle_ms + POLICY.silent_after_ms) / STEP_MS) + 1
+    _, was_silent = run_link(steps, outstanding=outstanding, peer_answers=False)
+    assert was_silent
+
+
+def test_a_request_on_a_link_that_died_while_idle_finds_out_in_time():
+    link = LinkHealth(now_ms=0.0, policy=POLICY)
+    link.sent(5_000.0)
+    assert not link.is_silent(5_000.0 + POLICY.silent_after_ms - 1)
+    assert link.due_heartbeat(5_000.0 + POLICY.heartbeat_ms)
+    assert link.is_silent(5_000.0 + POLICY.silent_after_ms)
+
+
+@given(mono_ms=st.floats(0, 1e7), wall_ms=st.integers(-(10**7), 10**7))
+def test_a_pause_shows_on_either_clock_until_a_peer_answers(mono_ms, wall_ms):
+    detector = PauseDetector(pause_after_ms=1_000)
+    detector.tick(0.0, 0)
+    pause = detector.tick(mono_ms, wall_ms)
+    assert (pause is not None) == (max(mono_ms, wall_ms) >= 1_000)
+    assert detector.is_confirmed == (pause is None)
+    detector.tick(mono_ms + 1, wall_ms + 1)
+    assert detector.is_confirmed == (pause is None)
+    detector.confirm()
+    assert detector.is_confirmed
+
+
+def cut_off(view, hosts):
+    """Return a tracker to which ``hosts`` were unreachable for long."""
+    tracker = FailureTracker(policy=POLICY)
+    for host in hosts:
+        tracker.failed(0.0, host)
+    return tracker.gone_hosts(POLICY.unreachable_after_ms, view)
+
+
+@given(side=st.sets(st.integers(1, 8), min_size=1), is_listed=st.booleans())
+def test_a_partition_alone_declares_nobody_gone(side, is_listed):
+    fleet = fleet_records(9)
+    view = View(self_record=fleet[0])
+    view.merge(0.0, fleet)
+    if is_listed:
+        view.apply_host_list(0.0, [listed(record) for record in fleet])
+    assert cut_off(view, [f"host-{n}" for n in side]) == []
+
+
+def test_the_list_and_reachability_together_declare_a_host_gone():
+    fleet = fleet_records(9)
+    view = View(self_record=fleet[0])
+    view.merge(0.0, fleet)
+    view.apply_host_list(0.0, [listed(record) for record in fleet])
+    view.apply_host_list(0.0, [listed(record) for record in fleet[:8]])
+    assert cut_off(view, ["host-7", "host-8"]) == ["host-8"]
+    view.apply_host_list(0.0, [listed(record) for record in fleet[:2]])
+    assert cut_off(view, ["host-7", "host-8"]) == []
+
+
+def test_a_host_that_the_list_does_not_show_yet_is_not_gone():
+    fleet = fleet_records(9)
+    view = View(self_record=fleet[0])
+    view.merge(0.0, fleet)
+    view.apply_host_list(0.0, [listed(record) for record in fleet[:8]])
+    assert cut_off(view, ["host-8"]) == []
+
+
+def test_a_host_that_was_leaving_and_is_unreachable_is_gone():
+    view = View(self_record=member("host-self"))
+    view.merge(0.0, [member("host-a")])
+    view.heard_leaving(0.0, Leaving("host-a", 1))
+    assert cut_off(view, ["host-a"]) == ["host-a"]
+
+
+def test_probes_back_off_and_stop_at_the_first_frame():
+    tracker = FailureTracker(policy=POLICY)
+    now_ms, probes = 0.0, 0
+    while now_ms < 600_000:
+        if tracker.may_probe(now_ms, "host-a"):
+            probes += 1
+            tracker.failed(now_ms, "host-a")
+        now_ms += STEP_MS
+    assert 20 <= probes <= 30
+    tracker.reached("host-a")
+    assert tracker.is_reachable("host-a")
