--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -137,6 +137,7 @@
             records += newer_than(self._view, gossip.records)
             if is_full(gossip.records):
                 self.is_joined = True
+                self._reconciliation.got_all(now_ms)
                 records += missing_from(self._view, gossip.records)
             elif gossip.want_all and self._reconciliation.gives_all(now_ms):
                 return [(sender, self._message(self._view.records()))]
--- a/src/jacinthshed/internal/membership/link_health.py
+++ b/src/jacinthshed/internal/membership/link_health.py
@@ -4,7 +4,7 @@
 
 # An idle link carries nothing that could get lost. Its heartbeats only keep the state
 # of middleboxes alive, so they are this many times rarer.
-IDLE_FACTOR = 20
+IDLE_FACTOR = 60
 
 
 class LinkHealth:
--- a/src/jacinthshed/internal/membership/reconciliation.py
+++ b/src/jacinthshed/internal/membership/reconciliation.py
@@ -7,8 +7,11 @@
 
 # How many answers to differing digests bring only recent records before all are
 # asked for.
-WINDOW_TRIES = 4
-FULL_INTERVAL_MS = 10_000.0
+WINDOW_TRIES = 2
+# The wait for a copy that was asked for: the peer may be dead, or its answer lost.
+FULL_RETRY_MS = 2_000.0
+# The wait after a whole copy came, which doubles with each one.
+MIN_FULL_INTERVAL_MS = 10_000.0
 MAX_FULL_INTERVAL_MS = 600_000.0
 
 
@@ -25,15 +28,15 @@
         self._differing_since_ms: float | None = None
         self._tries = 0
         self._answered_ms = float("-inf")
-        self._asked_all_ms = float("-inf")
-        self._full_interval_ms = FULL_INTERVAL_MS
+        self._next_full_ms = float("-inf")
+        self._got_all_ms = float("-inf")
+        self._full_interval_ms = MIN_FULL_INTERVAL_MS
         self._gave_all_ms = float("-inf")
 
     def agreed(self) -> None:
         """Note that a peer's digest equals the own one."""
         self._differing_since_ms = None
         self._tries = 0
-        self._full_interval_ms = FULL_INTERVAL_MS
 
     def differed(self, now_ms: float, view: View) -> bool:
         """Note that digests differ; return whether recent records are to be sent.
@@ -55,17 +58,25 @@
     def asks_all(self, now_ms: float) -> bool:
         """Return whether to ask the next peer for its whole view.
 
+        The ask is repeated until a copy comes, as the peer may be one that died.
+        """
+        if self._tries < WINDOW_TRIES or now_ms < self._next_full_ms:
+            return False
+        self._next_full_ms = now_ms + FULL_RETRY_MS
+        return True
+
+    def got_all(self, now_ms: float) -> None:
+        """Note that a whole view came.
+
         Where even whole copies don't make views equal, as between releases that order
         records differently, they are asked for ever more rarely.
         """
-        if self._tries < WINDOW_TRIES:
-            return False
-        if now_ms - self._asked_all_ms < self._full_interval_ms:
-            return False
-        self._asked_all_ms = now_ms
+        if now_ms - self._got_all_ms >= MAX_FULL_INTERVAL_MS:
+            self._full_interval_ms = MIN_FULL_INTERVAL_MS
+        self._got_all_ms = now_ms
+        self._next_full_ms = now_ms + self._full_interval_ms
         self._full_interval_ms = min(2 * self._full_interval_ms, MAX_FULL_INTERVAL_MS)
         self._tries = 0
-        return True
 
     def gives_all(self, now_ms: float) -> bool:
         """Return whether a whole view may be sent now."""
