--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -17,6 +17,9 @@
 # News that arrive within this time of each other are told on together.
 FORWARD_GAP_MS = 100.0
 MAX_SUSPECTS = 16
+# An answer to another digest brings at least the changes of this time: after a burst
+# they are more than one frame holds.
+RECENT_MS = 30_000.0
 EXPIRY_INTERVAL_MS = 60_000.0
 JITTER = 0.2
 
@@ -142,7 +145,8 @@
             elif gossip.want_all and self._reconciliation.gives_all(now_ms):
                 return [(sender, self._message(self._view.records()))]
             elif self._reconciliation.differed(now_ms, self._view):
-                records += self._view.recent(MAX_RECORDS - 1)
+                since_ms = now_ms - RECENT_MS
+                records += self._view.recent(MAX_RECORDS - 1, since_ms)
                 records.append(self._view.self_record)
                 must_answer = True
         return self._answers(sender, records, must_answer)
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -1,7 +1,6 @@
 """One node's view of all members."""
 
 from collections.abc import Iterable, Sequence
-from itertools import islice
 
 from ..wire.frames import Leaving, MemberRecord
 from .departures import Departures
@@ -26,6 +25,7 @@
         self._outranked_by: MemberRecord | None = None
         # Ordered from the least to the most recently changed record.
         self._records: dict[str, MemberRecord] = {}
+        self._changed_ms: dict[str, float] = {}
         self._gone_at_ms: dict[str, float] = {}
         self._host_list = HostList()
         self._index = ServiceIndex()
@@ -106,9 +106,14 @@
         """Return all records, the least recently changed first."""
         return tuple(self._records.values())
 
-    def recent(self, count: int) -> tuple[MemberRecord, ...]:
-        """Return the ``count`` records that changed last."""
-        return tuple(islice(reversed(self._records.values()), count))
+    def recent(self, count: int, since_ms: float) -> list[MemberRecord]:
+        """Return the ``count`` records that changed last, all since ``since_ms`` too."""
+        records: list[MemberRecord] = []
+        for host in reversed(self._records):
+            if len(records) >= count and self._changed_ms[host] < since_ms:
+                break
+            records.append(self._records[host])
+        return records
 
     def contacts(self) -> tuple[ListedHost, ...]:
         """Return listed hosts of which no record is known."""
@@ -211,7 +216,7 @@
             if not is_old and len(self._gone_at_ms) <= MAX_GONE:
                 return
             if host != self._self.host:
-                del self._records[host]
+                del self._records[host], self._changed_ms[host]
             del self._gone_at_ms[host]
 
     def _is_news(self, record: MemberRecord) -> bool:
@@ -244,6 +249,7 @@
         if old is not None:
             self._take_out(now_ms, old, record)
         self._records[record.host] = record
+        self._changed_ms[record.host] = now_ms
         if record.state != GONE:
             self._digest ^= record_hash(record)
         if record.state == LIVE:
