--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -1,6 +1,7 @@
 """One node's view of all members."""
 
 from collections.abc import Iterable, Sequence
+from math import inf
 
 from ..wire.frames import Leaving, MemberRecord
 from .departures import Departures
@@ -31,7 +32,7 @@
         self._index = ServiceIndex()
         self._departures = Departures()
         self._digest = 0
-        self.changed_ms = float("-inf")
+        self.changed_ms = -inf
         self.version = 0
         self._hosts: tuple[str, ...] = ()
         self._hosts_version = 0
@@ -106,8 +107,8 @@
         """Return all records, the least recently changed first."""
         return tuple(self._records.values())
 
-    def recent(self, count: int, since_ms: float) -> list[MemberRecord]:
-        """Return the ``count`` records that changed last, all since ``since_ms`` too."""
+    def recent(self, count: int, since_ms: float = inf) -> list[MemberRecord]:
+        """Return the last ``count`` changes, or all since ``since_ms`` if more."""
         records: list[MemberRecord] = []
         for host in reversed(self._records):
             if len(records) >= count and self._changed_ms[host] < since_ms:
