No handler for a client that is gone

A process that was paused finds requests in its sockets whose callers gave them up and went elsewhere. Seen to fail without the check: the handler ran.

--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -61,6 +61,15 @@
         self.is_partial = False
         return incoming
 
+    async def has_disconnected(self) -> bool:
+        """Return whether the client's end of the connection has arrived already."""
+        if len(self._received) > self._limits.head_bytes:
+            return False
+        socket = getattr(self._stream, "socket", None)
+        if socket is None or not socket.is_readable():
+            return False
+        return not await self._receive()
+
     async def wait_for_disconnect(self) -> None:
         """Return when the client closes; keep what it sends until then.
 
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -38,11 +38,15 @@
 
     ``handler`` sees whole and well-formed requests only. Anything else is answered
     with a 4xx status and a closed connection. ``cancel_on_disconnect`` cancels a
-    handler soon after its client has closed.
+    handler soon after its client has closed, and starts none for a client that is gone.
     """
     async with stream, trio.open_nursery() as nursery:
         connection = _Connection(
-            stream=stream, handler=handler, limits=limits, drain=drain
+            stream=stream,
+            handler=handler,
+            limits=limits,
+            drain=drain,
+            cancel_on_disconnect=cancel_on_disconnect,
         )
         if cancel_on_disconnect:
             nursery.start_soon(connection.watch.run)
@@ -60,11 +64,13 @@
         handler: RequestHandler,
         limits: HttpLimits,
         drain: Drain,
+        cancel_on_disconnect: bool,
     ) -> None:
         self._stream = stream
         self._handler = handler
         self._limits = limits
         self._drain = drain
+        self._cancel_on_disconnect = cancel_on_disconnect
         self._scope = trio.CancelScope()
         self._reader = RequestReader(
             stream=stream, scope=self._scope, limits=limits, drain=drain
@@ -94,9 +100,15 @@
 
     async def _serve_one(self, incoming: IncomingRequest) -> bool:
         """Answer one request; return whether the connection may carry another."""
-        self.watch.start()
+        if self._cancel_on_disconnect:
+            # After a pause of this process, requests wait here that their callers
+            # have given up; a copy may long have gone through another entry.
+            if await self._reader.has_disconnected():
+                return False
+            self.watch.start()
         response = await self._handle(incoming)
-        await self.watch.stop()
+        if self._cancel_on_disconnect:
+            await self.watch.stop()
         last = self._drain.started
         try:
             data = encode_response(incoming, response, last)
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -5,6 +5,7 @@
 from jacinthshed.internal.http.drain import Drain
 from jacinthshed.internal.http.limits import HttpLimits
 from jacinthshed.internal.http.message import Response
+from jacinthshed.internal.http.network import tcp_network
 from jacinthshed.internal.http.server import serve_connection
 from tests.common.http import memory_network, receive_all
 
@@ -129,3 +130,39 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_request_whose_client_is_gone_already_is_not_handled():
+    seen = []
+    client_gone = trio.Event()
+    served = trio.Event()
+
+    async def note(request, informational):
+        seen.append(request.target)
+        return Response(200)
+
+    async def connected(stream):
+        await client_gone.wait()
+        await serve_connection(
+            stream,
+            note,
+            limits=HttpLimits(),
+            drain=Drain(),
+            cancel_on_disconnect=True,
+        )
+        served.set()
+
+    async def main():
+        network = tcp_network()
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(network.listen, "127.0.0.1:0", connected)
+            client = await network.connect(address)
+            await client.send_all(REQUEST)
+            await client.aclose()
+            client_gone.set()
+            with trio.fail_after(10):
+                await served.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert seen == []
