Caller split: resend policy and the settling of a response are modules of their own

A request under a key that may have been sent no longer adds to the resends, so that an application that asks again hard doesn't earn itself more.

--- a/src/jacinthshed/internal/caller/caller.py
+++ b/src/jacinthshed/internal/caller/caller.py
@@ -7,27 +7,23 @@
 from returns.result import Failure, Result, Success
 
 from ..http.client import BackendPool
-from ..http.message import Header, Request, Response, header
+from ..http.message import Header, Request, Response
 from ..http.network import Network, tcp_network
 from ..http.outcome import ExchangeFailed, Outcome
-from ..verdict import Reason, Refusal, Verdict
+from ..verdict import Reason, Refusal
 from .answer import Answer
 from .entries import Entries
 from .key_record import KeyRecord
 from .key_store import KeyStore
-from .reading import read_response
-from .retry_bucket import RetryBucket
-from .submission import FENCE_FIELD, Draft, Submission
+from .resend_policy import MAX_RESENDS, ResendPolicy
+from .settling import fence_of, settle_response
+from .submission import Draft, Submission
 
 DEFAULT_DEADLINE_MS = 10_000
 
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
-_MAX_RESENDS = 2
-_RETRY_RATIO = 0.1
-_RETRY_BURST = 20
 _CONNECTIONS_PER_ENTRY = 256
 _MAX_ANSWER_BYTES = 16_777_216
-_RETRY_JITTER = 0.5
 # An entry shows several times a second that a request lives. One that is silent for
 # half of the time left, within these bounds, is given up for another.
 _MIN_PATIENCE_S = 0.45
@@ -52,7 +48,7 @@
         self._connect = (network or tcp_network()).connect
         self._entries = Entries(addresses=entries, rng=self._rng)
         self._keys = KeyStore(rng=self._rng)
-        self._bucket = RetryBucket(ratio=_RETRY_RATIO, burst=_RETRY_BURST)
+        self._resends = ResendPolicy(rng=self._rng)
         self._pools: dict[str, BackendPool] = {}
 
     def new_key(self) -> str:
@@ -124,13 +120,14 @@
     async def _submit(
         self, draft: Draft, record: KeyRecord, deadline_s: float
     ) -> Result[Answer, Refusal]:
-        self._bucket.note_fresh_request()
+        if not record.may_have_run:
+            self._resends.note_fresh_request()
         submission = Submission(
             draft=draft,
             record=record,
             deadline_s=deadline_s,
             entries=self._entries.order(trio.current_time()),
-            resends=_MAX_RESENDS,
+            resends=MAX_RESENDS,
         )
         while True:
             if submission.left_ms(trio.current_time()) <= 0:
@@ -154,7 +151,7 @@
         submission.lost_entry = isinstance(outcome, ExchangeFailed)
         if isinstance(outcome, Response):
             submission.unreached = 0
-            return _settled(outcome, record, may_have_run_before)
+            return settle_response(outcome, record, may_have_run_before)
         if not outcome.sent:
             record.may_have_run = may_have_run_before
         if outcome.unwritable:
@@ -179,7 +176,7 @@
     async def _exchange(self, submission: Submission, request: Request) -> Outcome:
         record = submission.record
         left_ms = submission.left_ms(trio.current_time())
-        can_resend = submission.resends > 0 and self._bucket.has_token
+        can_resend = self._resends.has_one_for(submission)
         half_s = left_ms / 2_000
         patience_s = max(_MIN_PATIENCE_S, min(_MAX_PATIENCE_S, half_s))
         with trio.CancelScope() as scope:
@@ -189,7 +186,7 @@
                     scope.deadline = trio.current_time() + patience_s
 
             async def take_interim(interim: Response) -> None:
-                record.learn_fence(_fence(interim))
+                record.learn_fence(fence_of(interim))
                 heard()
 
             heard()
@@ -205,28 +202,16 @@
         self, submission: Submission, result: Result[Answer, Refusal]
     ) -> bool:
         """Return whether to send another copy, after the wait that it needs."""
-        if isinstance(result, Success) or submission.resends <= 0:
+        if isinstance(result, Success):
             return False
-        wait_ms = self._wait_before_resend_ms(submission, result.failure())
-        if wait_ms is None or wait_ms >= submission.left_ms(trio.current_time()):
-            return False
-        if not self._bucket.take():
+        wait_ms = self._resends.take(
+            submission, result.failure(), submission.left_ms(trio.current_time())
+        )
+        if wait_ms is None:
             return False
-        submission.resends -= 1
         await trio.sleep(wait_ms / 1_000)
         return True
 
-    def _wait_before_resend_ms(
-        self, submission: Submission, refusal: Refusal
-    ) -> float | None:
-        """Return the wait before another copy, or ``None`` when none may be sent."""
-        if refusal.verdict is not Verdict.NOT_RUN and not submission.may_resend:
-            return None
-        if refusal.retry_after_ms > 0:
-            return refusal.retry_after_ms * (1 + _RETRY_JITTER * self._rng.random())
-        sent_and_lost = submission.lost_entry and submission.record.may_have_run
-        return 0.0 if sent_and_lost else None
-
     def _pool(self, address: str) -> BackendPool:
         pool = self._pools.get(address)
         if pool is None:
@@ -236,26 +221,3 @@
                 max_connections=_CONNECTIONS_PER_ENTRY,
             )
         return pool
-
-
-def _fence(response: Response) -> str:
-    return (header(response.headers, FENCE_FIELD) or b"").decode("latin-1")
-
-
-def _settled(
-    response: Response, record: KeyRecord, may_have_run_before: bool
-) -> Result[Answer, Refusal]:
-    """Return what ``response`` says about all copies that were sent."""
-    record.learn_fence(_fence(response))
-    result = read_response(response)
-    if isinstance(result, Success):
-        answer = result.unwrap()
-        verdict = record.settle(
-            answer.verdict, Reason.SHED, may_have_run_before=may_have_run_before
-        )
-        return Success(answer._replace(verdict=verdict))
-    refusal = result.failure()
-    verdict = record.settle(
-        refusal.verdict, refusal.reason, may_have_run_before=may_have_run_before
-    )
-    return Failure(refusal._replace(verdict=verdict))
--- /dev/null
+++ b/src/jacinthshed/internal/caller/resend_policy.py
@@ -0,0 +1,50 @@
+"""When a caller may send another copy of a request by itself."""
+
+import random
+
+from ..verdict import Refusal, Verdict
+from .retry_bucket import RetryBucket
+from .submission import Submission
+
+MAX_RESENDS = 2
+
+_RETRY_RATIO = 0.1
+_RETRY_BURST = 20
+_JITTER = 0.5
+
+
+class ResendPolicy:
+    """Bounds resends for each request, and over all requests of a caller."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._bucket = RetryBucket(ratio=_RETRY_RATIO, burst=_RETRY_BURST)
+
+    def note_fresh_request(self) -> None:
+        """Count a request of which no copy was sent before."""
+        self._bucket.note_fresh_request()
+
+    def has_one_for(self, submission: Submission) -> bool:
+        """Return whether a copy that is given up now could be sent again."""
+        return submission.resends > 0 and self._bucket.has_token
+
+    def take(
+        self, submission: Submission, refusal: Refusal, left_ms: float
+    ) -> float | None:
+        """Take a resend; return the wait before it, or ``None`` without one."""
+        wait_ms = self._wait_ms(submission, refusal)
+        if wait_ms is None or wait_ms >= left_ms or submission.resends <= 0:
+            return None
+        if not self._bucket.take():
+            return None
+        submission.resends -= 1
+        return wait_ms
+
+    def _wait_ms(self, submission: Submission, refusal: Refusal) -> float | None:
+        if refusal.verdict is not Verdict.NOT_RUN and not submission.may_resend:
+            return None
+        if refusal.retry_after_ms > 0:
+            # Spread, so that callers refused together do not return together.
+            return refusal.retry_after_ms * (1 + _JITTER * self._rng.random())
+        sent_and_lost = submission.lost_entry and submission.record.may_have_run
+        return 0.0 if sent_and_lost else None
