--- a/src/jacinthshed/internal/cli/call_command.py
+++ b/src/jacinthshed/internal/cli/call_command.py
@@ -13,10 +13,7 @@
 from ..http.message import Header
 from ..http.network import split_address
 from ..verdict import Refusal
-
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
+from .exit_codes import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
 
 _FIRST_ERROR_STATUS = 400
 
@@ -91,7 +88,7 @@
     print(msgspec.json.encode(document).decode() if as_json else _text(document))
     if isinstance(result, Success) and result.unwrap().status < _FIRST_ERROR_STATUS:
         return EXIT_DONE
-    return EXIT_FAILED
+    return EXIT_REFUSED
 
 
 def _header(item: str) -> Header:
--- a/src/jacinthshed/internal/cli/demo_command.py
+++ b/src/jacinthshed/internal/cli/demo_command.py
@@ -11,8 +11,7 @@
 from ..demo.run import run_demo
 from ..demo.table import figures_table
 from ..telemetry.log import configure_logging
-
-EXIT_DONE = 0
+from .exit_codes import EXIT_DONE
 
 
 def demo(
