--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -208,9 +208,11 @@
         backend.first_line()
         return backend
 
-    def start_node(self, plan: TargetPlan) -> Process:
-        """Start the node of ``plan``."""
+    def start_node(self, plan: TargetPlan, *, with_backend: bool = True) -> Process:
+        """Start the node of ``plan``, which may be an entry only."""
         settings = node_settings(plan, self.key, self.platform_address, self.sample)
+        if not with_backend:
+            del settings["backend"]
         path = self.folder / f"{plan.host}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
         return self.processes.start(
