--- a/src/jacinthshed/internal/cli/app.py
+++ b/src/jacinthshed/internal/cli/app.py
@@ -3,14 +3,22 @@
 import cyclopts
 
 from .bundle_commands import bundle_app
+from .call_command import call
+from .demo_command import demo
 from .exit_codes import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
+from .explain_command import explain
 from .node_command import node
+from .status_command import status
 
 __all__ = ["EXIT_DONE", "EXIT_REFUSED", "EXIT_USAGE", "app", "run"]
 
 app = cyclopts.App(name="jacinthshed", help="Overload control for call graphs.")
 app.command(node)
 app.command(bundle_app)
+app.command(status)
+app.command(call)
+app.command(explain)
+app.command(demo)
 
 
 def run(arguments: list[str]) -> int:
--- a/src/jacinthshed/internal/cli/in_force.py
+++ b/src/jacinthshed/internal/cli/in_force.py
@@ -1,11 +1,26 @@
 """Asking a node for the bundle in force."""
 
+from typing import Any
+
+import trio
 from returns.result import Failure, Result
 
+from ..http.network import tcp_network
+from ..node.ask_status import ask_status
+from ..settings.address import parse_address
+
+TIMEOUT_MS = 2_000
+
 
 def version_in_force(address: str) -> Result[int, str]:
-    """Return the version of the bundle in force at the node ``address``."""
-    return Failure(
-        f"can't ask {address}: this command can't speak to nodes yet; "
-        "give the bundle in force with --in-force FILE"
-    )
+    """Return the version of the bundle in force at the node with that peer address."""
+    parsed = parse_address(address)
+    if isinstance(parsed, Failure):
+        return Failure(f"{address!r}: expected {parsed.failure()}")
+    connect = tcp_network().connect
+
+    async def ask() -> Any:
+        return await ask_status(connect, address, timeout_ms=TIMEOUT_MS)
+
+    answer: Result[dict[str, Any], str] = trio.run(ask)
+    return answer.map(lambda document: int(document["bundle"]["version"]))
--- /dev/null
+++ b/src/jacinthshed/internal/node/ask_status.py
@@ -0,0 +1,46 @@
+"""Asks a node for its status over its peer address."""
+
+from typing import Any
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from ..http.network import Connect
+from ..wire.codec import PROTOCOL_VERSION, FrameBuffer, FrameError, encode
+from ..wire.frames import Hello, MemberRecord, StatusAsk, StatusData
+
+RECEIVE_BYTES = 65_536
+REQUEST_ID = "status"
+
+# An empty host name marks a visitor, which is no member.
+_VISITOR = MemberRecord("", 0, "gone", 0, "", "", "", 0)
+
+
+async def ask_status(
+    connect: Connect, address: str, *, timeout_ms: int
+) -> Result[dict[str, Any], str]:
+    """Return the status of the node whose peer listener is at ``address``.
+
+    The failure says what went wrong, for people.
+    """
+    with trio.move_on_after(timeout_ms / 1_000):
+        try:
+            return await _exchange(await connect(address))
+        except (OSError, trio.BrokenResourceError) as error:
+            return Failure(f"no connection to {address}: {error}")
+        except FrameError as error:
+            return Failure(f"{address} is not a node's peer address: {error}")
+    return Failure(f"no answer from {address} within {timeout_ms} ms")
+
+
+async def _exchange(stream: trio.abc.Stream) -> Result[dict[str, Any], str]:
+    hello = Hello(PROTOCOL_VERSION, _VISITOR, 0, b"")
+    buffer = FrameBuffer()
+    async with stream:
+        await stream.send_all(encode(hello) + encode(StatusAsk(REQUEST_ID)))
+        while data := await stream.receive_some(RECEIVE_BYTES):
+            for frame in buffer.feed(data):
+                if isinstance(frame, StatusData):
+                    return Success(msgspec.json.decode(frame.document))
+    return Failure("the node closed the connection without a status")
