--- /dev/null
+++ b/src/jacinthshed/internal/flow/conclusion.py
@@ -0,0 +1,53 @@
+"""What the end of an exchange with the backend server means for its request."""
+
+from ..fence.instant import Instant
+from ..fence.memo import FenceMemo
+from ..quarantine.suspects import Suspects
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Reply
+from .backend_outcome import (
+    BackendAnswer,
+    BackendFailure,
+    BackendResult,
+    FailureCause,
+    refusal_from,
+)
+from .job import Job
+from .replies import answer_reply, refusal_reply
+
+
+def conclude(
+    at: Instant,
+    job: Job,
+    result: BackendResult,
+    *,
+    memo: FenceMemo,
+    suspects: Suspects,
+) -> Reply:
+    """Return the reply to a request that was dispatched, and remember its end."""
+    submit = job.submit
+    refusal = _refusal(result, job.fingerprint, suspects)
+    if refusal is None:
+        assert isinstance(result, BackendAnswer)
+        reply = answer_reply(submit.request_id, result)
+        suspects.succeeded(at.now_ms, job.fingerprint)
+        if submit.fence:
+            memo.answered(at, submit.key, reply)
+        return reply
+    if not job.accused:
+        suspects.stopped(job.fingerprint)
+    if submit.fence and refusal.verdict is Verdict.NOT_RUN:
+        refusal = memo.refused(at, submit.key, submit.fence, refusal)
+    elif submit.fence:
+        memo.failed(at, submit.key)
+    return refusal_reply(submit.request_id, refusal)
+
+
+def _refusal(result: BackendResult, mark: int, suspects: Suspects) -> Refusal | None:
+    refusal = refusal_from(result)
+    if refusal is None or not isinstance(result, BackendFailure):
+        return refusal
+    crashed = result.cause is FailureCause.CRASHED
+    if crashed and not suspects.may_retry(mark):
+        return refusal._replace(reason=Reason.CRASHED)
+    return refusal
--- a/src/jacinthshed/internal/flow/context.py
+++ b/src/jacinthshed/internal/flow/context.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from ..wire.frames import Submit
+
 
 class ParentContext(NamedTuple):
     """What a nested call inherits from the request that makes it.
@@ -19,6 +21,20 @@
     key: str
 
 
+def parent_context(submit: Submit, deadline_at_ms: float) -> ParentContext:
+    """Return what calls inherit from ``submit`` while it runs."""
+    return ParentContext(
+        request_id=submit.request_id,
+        root_id=submit.root_id,
+        root_hash=submit.root_hash,
+        rank=submit.rank,
+        route=submit.route,
+        deadline_at_ms=deadline_at_ms,
+        invested=submit.invested,
+        key=submit.key,
+    )
+
+
 class ContextRegistry:
     """The running requests by request id, with what their nested calls have done."""
 
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -17,19 +17,13 @@
 from ..wire.frames import Cancel, Reply, Revoke, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
 from .arrival_check import ArrivalCheck
-from .backend_outcome import (
-    BackendAnswer,
-    BackendFailure,
-    BackendResult,
-    FailureCause,
-    admission_outcome,
-    refusal_from,
-)
-from .context import ContextRegistry, ParentContext
+from .backend_outcome import BackendResult, admission_outcome
+from .conclusion import conclude
+from .context import ContextRegistry, parent_context
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
-from .replies import addressed, answer_reply, refusal_reply
+from .replies import addressed, refusal_reply
 
 
 class Target:
@@ -98,7 +92,7 @@
         job = self._jobs.get(ticket)
         if job is None:
             return []
-        reply = self._conclude(at, job, result)
+        reply = conclude(at, job, result, memo=self._memo, suspects=self._suspects)
         decisions = self._finish(at, job, admission_outcome(result))
         actions = self._reply_all(at, job, reply)
         return actions + self._apply(at, decisions)
@@ -216,47 +210,9 @@
             self._memo.dispatched(submit.key)
         self._suspects.started(job.fingerprint)
         self._ledger.open(submit.request_id, submit.allowance)
-        self._contexts.open(
-            ParentContext(
-                request_id=submit.request_id,
-                root_id=submit.root_id,
-                root_hash=submit.root_hash,
-                rank=submit.rank,
-                route=submit.route,
-                deadline_at_ms=job.deadline_at_ms,
-                invested=submit.invested,
-                key=submit.key,
-            )
-        )
+        self._contexts.open(parent_context(submit, job.deadline_at_ms))
         return Dispatch(job.ticket, submit, job.deadline_at_ms - at.now_ms)
 
-    def _conclude(self, at: Instant, job: Job, result: BackendResult) -> Reply:
-        submit = job.submit
-        refusal = self._refusal_from(result, job.fingerprint)
-        if refusal is None:
-            assert isinstance(result, BackendAnswer)
-            reply = answer_reply(submit.request_id, result)
-            self._suspects.succeeded(at.now_ms, job.fingerprint)
-            if submit.fence:
-                self._memo.answered(at, submit.key, reply)
-            return reply
-        if not job.accused:
-            self._suspects.stopped(job.fingerprint)
-        if submit.fence and refusal.verdict is Verdict.NOT_RUN:
-            refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
-        elif submit.fence:
-            self._memo.failed(at, submit.key)
-        return refusal_reply(submit.request_id, refusal)
-
-    def _refusal_from(self, result: BackendResult, mark: int) -> Refusal | None:
-        refusal = refusal_from(result)
-        if refusal is None or not isinstance(result, BackendFailure):
-            return refusal
-        crashed = result.cause is FailureCause.CRASHED
-        if crashed and not self._suspects.may_retry(mark):
-            return refusal._replace(reason=Reason.CRASHED)
-        return refusal
-
     def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
         started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
         nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -32,6 +32,7 @@
         self._index = ServiceIndex()
         self._departures = Departures()
         self._digest = 0
+        self._targets_changed_ms: dict[str, float] = {}
         self.changed_ms = -inf
         self.version = 0
         self._hosts: tuple[str, ...] = ()
@@ -83,6 +84,10 @@
         """Return the names of services that have members."""
         return self._index.services()
 
+    def targets_changed_ms(self, service: str) -> float:
+        """Return when a target of ``service`` last came, left or restarted."""
+        return self._targets_changed_ms.get(service, -inf)
+
     def departed(
         self, service: str, within_ms: float, now_ms: float
     ) -> tuple[MemberRecord, ...]:
@@ -262,6 +267,11 @@
         if self._host_list.is_hinted(record.host):
             self._follow_hints()
         self.changed_ms = now_ms
+        if old is None or (old.incarnation, old.state) != (
+            record.incarnation,
+            record.state,
+        ):
+            self._targets_changed_ms[record.service] = now_ms
         self.version += 1
 
     def _take_out(self, now_ms: float, old: MemberRecord, new: MemberRecord) -> None:
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -1,6 +1,8 @@
 """The functions that call flows draw on, over the state of one node."""
 
 from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
 
 from ..admission.shed_level import ShedLevel
 from ..bundle.model import FencePolicy
@@ -24,123 +26,52 @@
 LogDecision = Callable[..., None]
 
 
-def make_tools(
-    *,
-    state: NodeState,
-    clock: Clock,
-    policy: Callable[[], Policy | None],
-    log: LogDecision,
-) -> CallTools:
-    """Return the tools of this node's entry and egress."""
+class CallSurroundings(NamedTuple):
+    """What the tools of a call are bound to."""
+
+    state: NodeState
+    clock: Clock
+    policy: Callable[[], Policy | None]
+    log: LogDecision
 
-    def fences() -> FencePolicy:
-        current = policy()
+    @property
+    def fences(self) -> FencePolicy:
+        """The times of fences that are in force."""
+        current = self.policy()
         return current.bundle.fence if current else FencePolicy()
 
-    def pick(call: Call, tried: frozenset[str]) -> str | None:
-        choice = state.picker.pick(clock.now_ms(), call.service, tried)
-        log(
-            "routing",
-            request_id=call.request_id,
-            service=call.service,
-            host=choice.host if choice else None,
-            candidates=choice.candidates if choice else (),
-            reason=choice.reason if choice else "no target",
-        )
-        return choice.host if choice else None
-
-    def home(call: Call) -> list[str]:
-        members = state.view.members(call.service)
-        return home_order(call.key, [member.host for member in members])
-
-    def revoke_targets(call: Call) -> tuple[RevocationTarget, ...]:
-        lifetime_ms = fences().key_lifetime_ms
-        gone = state.view.departed(call.service, lifetime_ms, clock.now_ms())
-        departed = {record.host for record in gone}
-        asked = [RevocationTarget(host, False) for host in home(call)]
-        return (*asked, *(RevocationTarget(host, True) for host in departed))
-
-    def split(call: Call, attempt_id: str) -> int:
-        below = len(call.services_below) > 1
-        return state.ledger.split(call.ledger_id, attempt_id, calls_others=below)
-
-    def may_retry(call: Call) -> bool:
-        mark = _mark(call)
-        if not state.suspects.may_retry(mark):
-            return False
-        return state.resends.try_resend(NODE_CALLER, clock.now_ms())
-
-    def may_replace_fence(call: Call) -> bool:
-        if not call.parent_id:
-            return False
-        return not state.contexts.is_shared(call.parent_id, call.key)
-
-    def refuse(call: Call) -> Refusal | None:
-        now_ms = clock.now_ms()
-        state.resends.fresh(NODE_CALLER)
-        check = state.suspects.check(now_ms, _mark(call))
-        if isinstance(check, Quarantined):
-            retry_after_ms = check.retry_after_ms
-            return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, retry_after_ms)
-        fraction = state.random.random()
-        wait_ms = state.levels.refuses(
-            now_ms, (call.route,), call.rank, call.root_hash, fraction
-        )
-        if wait_ms is None:
-            return None
-        log("shed_at_entry", request_id=call.request_id, route=call.route)
-        return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
-
-    def mint_fence(host: str, incarnation: int, ballot: str) -> Fence:
-        return mint(
-            host=host,
-            incarnation=incarnation,
-            wall_ms=clock.wall_ms(),
-            lifetime_ms=fences().lifetime_ms,
-            ballot=ballot,
-            random=state.random,
-        )
-
-    def frame(call: Call, attempt: Attempt) -> Submit:
-        order = state.store.order
-        return submit_frame(
-            call,
-            attempt,
-            now_ms=clock.now_ms(),
-            version=order.version,
-            digest=order.digest,
-        )
-
-    def log_call(event: str, *, call: Call, **fields: object) -> None:
-        log(event, request_id=call.request_id, route=call.route, **fields)
 
+def make_tools(around: CallSurroundings) -> CallTools:
+    """Return the tools of this node's entry and egress."""
+    state, clock = around.state, around.clock
     return CallTools(
         now_ms=clock.now_ms,
         wall_ms=clock.wall_ms,
-        pick=pick,
-        home_order=home,
-        revoke_targets=revoke_targets,
-        split=split,
+        pick=partial(_pick, around),
+        home_order=partial(_home_order, around),
+        revoke_targets=partial(_revoke_targets, around),
+        split=partial(_split, around),
         spend=lambda call: state.ledger.spend(call.ledger_id),
         give_back=lambda call, attempt_id, unused: state.ledger.give_back(
             call.ledger_id, attempt_id, unused
         ),
-        may_retry=may_retry,
-        may_replace_fence=may_replace_fence,
-        refuse=refuse,
-        mint=mint_fence,
+        may_retry=partial(_may_retry, around),
+        may_replace_fence=partial(_may_replace_fence, around),
+        refuse=partial(_refuse, around),
+        mint=partial(_mint, around),
         next_ballot=lambda above: state.ballots.make(clock.wall_ms(), above=above),
-        key_lifetime_ms=lambda: fences().key_lifetime_ms,
-        frame=frame,
-        log=log_call,
+        key_lifetime_ms=lambda: around.fences.key_lifetime_ms,
+        frame=partial(_frame, around),
+        log=partial(_log_call, around),
     )
 
 
-def make_observer(*, state: NodeState, clock: Clock, call: Call) -> ExchangeObserver:
+def make_observer(around: CallSurroundings, call: Call) -> ExchangeObserver:
     """Return what learns loads and shed levels from the exchanges of ``call``."""
+    state = around.state
 
     def ended(host: str, reply: Reply | None) -> None:
-        now_ms = clock.now_ms()
+        now_ms = around.clock.now_ms()
         state.picker.done(host)
         if reply is None:
             return
@@ -157,6 +88,97 @@
     return ExchangeObserver(sent=state.picker.sent, ended=ended)
 
 
+def _pick(around: CallSurroundings, call: Call, tried: frozenset[str]) -> str | None:
+    now_ms = around.clock.now_ms()
+    choice = around.state.picker.pick(now_ms, call.service, tried)
+    around.log(
+        "routing",
+        request_id=call.request_id,
+        service=call.service,
+        host=choice.host if choice else None,
+        candidates=choice.candidates if choice else (),
+        reason=choice.reason if choice else "no target",
+    )
+    return choice.host if choice else None
+
+
+def _home_order(around: CallSurroundings, call: Call) -> list[str]:
+    members = around.state.view.members(call.service)
+    return home_order(call.key, [member.host for member in members])
+
+
+def _revoke_targets(
+    around: CallSurroundings, call: Call
+) -> tuple[RevocationTarget, ...]:
+    view = around.state.view
+    lifetime_ms = around.fences.key_lifetime_ms
+    gone = view.departed(call.service, lifetime_ms, around.clock.now_ms())
+    departed = {record.host for record in gone}
+    asked = [RevocationTarget(host, False) for host in _home_order(around, call)]
+    return (*asked, *(RevocationTarget(host, True) for host in departed))
+
+
+def _split(around: CallSurroundings, call: Call, attempt_id: str) -> int:
+    below = len(call.services_below) > 1
+    return around.state.ledger.split(call.ledger_id, attempt_id, calls_others=below)
+
+
+def _may_retry(around: CallSurroundings, call: Call) -> bool:
+    if not around.state.suspects.may_retry(_mark(call)):
+        return False
+    return around.state.resends.try_resend(NODE_CALLER, around.clock.now_ms())
+
+
+def _may_replace_fence(around: CallSurroundings, call: Call) -> bool:
+    if not call.parent_id:
+        return False
+    return not around.state.contexts.is_shared(call.parent_id, call.key)
+
+
+def _refuse(around: CallSurroundings, call: Call) -> Refusal | None:
+    now_ms = around.clock.now_ms()
+    state = around.state
+    state.resends.fresh(NODE_CALLER)
+    check = state.suspects.check(now_ms, _mark(call))
+    if isinstance(check, Quarantined):
+        return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, check.retry_after_ms)
+    wait_ms = state.levels.refuses(
+        now_ms, (call.route,), call.rank, call.root_hash, state.random.random()
+    )
+    if wait_ms is None:
+        return None
+    around.log("shed_at_entry", request_id=call.request_id, route=call.route)
+    return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
+
+
+def _mint(around: CallSurroundings, host: str, incarnation: int, ballot: str) -> Fence:
+    return mint(
+        host=host,
+        incarnation=incarnation,
+        wall_ms=around.clock.wall_ms(),
+        lifetime_ms=around.fences.lifetime_ms,
+        ballot=ballot,
+        random=around.state.random,
+    )
+
+
+def _frame(around: CallSurroundings, call: Call, attempt: Attempt) -> Submit:
+    order = around.state.store.order
+    return submit_frame(
+        call,
+        attempt,
+        now_ms=around.clock.now_ms(),
+        version=order.version,
+        digest=order.digest,
+    )
+
+
+def _log_call(
+    around: CallSurroundings, event: str, *, call: Call, **fields: object
+) -> None:
+    around.log(event, request_id=call.request_id, route=call.route, **fields)
+
+
 def _mark(call: Call) -> int:
     return fingerprint(
         route=call.route, method=call.method, target=call.target, body=call.body
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -6,24 +6,20 @@
 
 import trio
 
-from ..bundle.model import DrainPolicy, ReaderPolicy
-from ..bundle.readers import PlatformReader
+from ..bundle.model import DrainPolicy
 from ..bundle.signing import TrustedOperators
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
 from ..http.network import Network, StreamHandler
 from ..http.server import RequestHandler, serve_connection
-from ..membership.host_list import ListedHost, should_leave
+from ..membership.host_list import should_leave
 from ..membership.record_order import LIVE
-from ..platform.adapter import Platform, http_platform
-from ..platform.hosts import HostState, parse_hosts
 from ..settings.address import Address
 from ..settings.model import NodeSettings
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
 from .parts import NodeParts, Surroundings, build_parts
-from .platform_task import PlatformTask
 from .policy_holder import PolicyHolder
 from .state import build_state
 
@@ -129,8 +125,8 @@
         )
         holder = PolicyHolder(store=state.store, log=self._log)
         holder_box.append(holder)
-        self._reader = self._build_reader()
-        around = Surroundings(
+        self._reader = build_reader(settings, self._random, self._clock)
+        self._around = Surroundings(
             settings=settings,
             network=self._network,
             clock=self._clock,
@@ -140,24 +136,12 @@
             is_backend_up=self._is_backend_up,
         )
         parts = build_parts(
-            around=around, state=state, holder=holder, reader=self._reader
+            around=self._around, state=state, holder=holder, reader=self._reader
         )
         self._parts = parts
         self._wired.set()
         return parts
 
-    def _build_reader(self) -> PlatformReader:
-        platform = self._settings.platform
-        keys = (platform.bundle_key, platform.hosts_key) if platform else ()
-        return PlatformReader(
-            host=self._settings.host,
-            availability_zone=self._settings.availability_zone,
-            policy=ReaderPolicy(),
-            keys=keys,
-            random=self._random,
-            now_ms=self._clock.now_ms(),
-        )
-
     def _start_tasks(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         parts.links.start(nursery)
         parts.dispatcher.start(nursery)
@@ -170,7 +154,12 @@
         The platform may be stale, so that its bundle is put in force only when the
         peers had their chance to show a higher one.
         """
-        tasks = self._platform_tasks(parts)
+        tasks = build_platform_tasks(
+            around=self._around,
+            holder=parts.holder,
+            reader=self._reader,
+            on_hosts=self._take_host_list,
+        )
         for task in tasks:
             nursery.start_soon(task.run)
         with trio.move_on_after(BOOTSTRAP_TIMEOUT_S):
@@ -180,62 +169,11 @@
         parts.holder.begin_serving()
         self._log("serving", host=self._settings.host, version=parts.holder.order[0])
 
-    def _platform_tasks(self, parts: NodeParts) -> list[PlatformTask]:
-        settings = self._settings.platform
-        if settings is None:
-            return []
-
-        async def connect(address: Address) -> trio.abc.Stream:
-            return await self._network.connect(str(address))
-
-        platform = http_platform(address=settings.address, connect=connect)
-
-        def take_bundle(value: bytes) -> None:
-            parts.holder.offer(value, "platform")
-
-        return [
-            self._platform_task(parts, platform, settings.bundle_key, take_bundle),
-            self._platform_task(
-                parts, platform, settings.hosts_key, self._take_host_list
-            ),
-        ]
-
-    def _platform_task(
-        self,
-        parts: NodeParts,
-        platform: Platform,
-        key: str,
-        on_value: Callable[[bytes], None],
-    ) -> PlatformTask:
-        def watch_ms() -> int:
-            policy = parts.holder.current()
-            return (policy.bundle.readers if policy else ReaderPolicy()).watch_ms
-
-        return PlatformTask(
-            platform=platform,
-            key=key,
-            reader=self._reader,
-            clock=self._clock,
-            watch_ms=watch_ms,
-            on_value=on_value,
-            log=self._log,
-        )
-
     def _take_host_list(self, value: bytes) -> None:
-        parsed = parse_hosts(value).value_or(None)
-        if parsed is None or self._parts is None:
+        listed = read_listed_hosts(value)
+        if listed is None or self._parts is None:
             self._log("host_list_refused", reason="not a JSON list of hosts")
             return
-        listed = [
-            ListedHost(
-                host=host.host,
-                service=host.service,
-                availability_zone=host.availability_zone,
-                peer_address=str(host.peer_address),
-                leaving=host.state is HostState.LEAVING,
-            )
-            for host in parsed.hosts
-        ]
         own_leaving = self._parts.membership.heard_list(listed)
         uptime_ms = self._clock.now_ms() - self._started_ms
         if own_leaving and should_leave(uptime_ms):
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -1,13 +1,12 @@
 """The parts of one node, built and wired to each other."""
 
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from typing import NamedTuple
 
 from ..bundle.model import MembershipPolicy, SizeLimits
 from ..bundle.readers import PlatformReader
 from ..fence.fence import decode_fence
-from ..flow.call import Call
-from ..flow.tools import CallTools
 from ..http.client import BackendPool
 from ..http.network import Network
 from ..membership.gossip import Gossiper
@@ -15,7 +14,7 @@
 from ..telemetry.metrics import Metrics
 from ..wire.codec import PROTOCOL_VERSION
 from ..wire.frames import Frame, Hello
-from .call_tools import make_observer, make_tools
+from .call_tools import CallSurroundings, make_observer, make_tools
 from .clock import Clock
 from .dispatcher import Dispatcher
 from .frame_router import FrameRouter
@@ -24,7 +23,6 @@
 from .links import LinkTable
 from .local_link import LocalLink
 from .membership_task import MembershipTask
-from .observer import ExchangeObserver
 from .policy_follower import PolicyFollower
 from .policy_holder import PolicyHolder
 from .state import NodeState
@@ -101,8 +99,23 @@
     holder.follow(follower.follow)
     membership = _build_membership(around, state, holder, reader, links, follower)
     gateway = _build_gateway(around, state, holder, links, membership)
-    wiring.router = FrameRouter(
-        clock=around.clock,
+    wiring.router = _build_router(
+        around, state, holder, dispatcher, membership, gateway
+    )
+    return NodeParts(state, holder, links, membership, dispatcher, gateway, pool)
+
+
+def _build_router(
+    around: Surroundings,
+    state: NodeState,
+    holder: PolicyHolder,
+    dispatcher: Dispatcher,
+    membership: MembershipTask,
+    gateway: Gateway,
+) -> FrameRouter:
+    clock = around.clock
+    return FrameRouter(
+        clock=clock,
         target=state.target,
         dispatcher=dispatcher,
         membership=membership,
@@ -111,12 +124,9 @@
         status=lambda: status_document(
             state, holder, leaving=around.is_leaving(), in_flight=gateway.in_flight
         ),
-        learn_suspect=lambda report: state.suspects.learn(
-            around.clock.now_ms(), report
-        ),
+        learn_suspect=lambda report: state.suspects.learn(clock.now_ms(), report),
         count_unknown=lambda: around.metrics.increment("frames.unknown"),
     )
-    return NodeParts(state, holder, links, membership, dispatcher, gateway, pool)
 
 
 def _build_links(
@@ -172,6 +182,32 @@
     links: LinkTable,
     follower: PolicyFollower,
 ) -> MembershipTask:
+    def publish(services: Iterable[str]) -> None:
+        for service in services:
+            follower.members_changed(service)
+
+    gossiper = _build_gossiper(around, state, holder, reader, links)
+    return MembershipTask(
+        view=state.view,
+        gossiper=gossiper,
+        failures=state.failures,
+        pauses=state.pauses,
+        reader=reader,
+        links=links,
+        clock=around.clock,
+        seeds=[str(seed) for seed in around.settings.seeds],
+        on_members=publish,
+        log=around.log,
+    )
+
+
+def _build_gossiper(
+    around: Surroundings,
+    state: NodeState,
+    holder: PolicyHolder,
+    reader: PlatformReader,
+    links: LinkTable,
+) -> Gossiper:
     clock = around.clock
 
     def platform_age_ms() -> int:
@@ -182,11 +218,7 @@
         peers = [link.peer for link in links.streams()]
         return [peer.record.host for peer in peers if peer and peer.record.host]
 
-    def publish(services: Iterable[str]) -> None:
-        for service in services:
-            follower.members_changed(service)
-
-    gossiper = Gossiper(
+    return Gossiper(
         view=state.view,
         policy=_membership_policy(holder),
         random=state.random,
@@ -196,18 +228,6 @@
         linked=linked,
         is_reachable=state.failures.is_reachable,
     )
-    return MembershipTask(
-        view=state.view,
-        gossiper=gossiper,
-        failures=state.failures,
-        pauses=state.pauses,
-        reader=reader,
-        links=links,
-        clock=clock,
-        seeds=[str(seed) for seed in around.settings.seeds],
-        on_members=publish,
-        log=around.log,
-    )
 
 
 def _build_gateway(
@@ -217,12 +237,7 @@
     links: LinkTable,
     membership: MembershipTask,
 ) -> Gateway:
-    def observe(call: Call) -> ExchangeObserver:
-        return make_observer(state=state, clock=around.clock, call=call)
-
-    tools: CallTools = make_tools(
-        state=state, clock=around.clock, policy=holder.current, log=around.log
-    )
+    calls = CallSurroundings(state, around.clock, holder.current, around.log)
     return Gateway(
         clock=around.clock,
         random=state.random,
@@ -230,11 +245,11 @@
         ledger=state.ledger,
         contexts=state.contexts,
         links=links,
-        tools=tools,
+        tools=make_tools(calls),
         is_leaving=around.is_leaving,
         confirmed=membership.confirmed,
         on_nested_done=state.target.add_nested_ms,
-        observe=observe,
+        observe=partial(make_observer, calls),
         log=around.log,
     )
 
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -71,17 +71,9 @@
 
     Policies are the defaults until a bundle comes into force.
     """
-    membership = MembershipPolicy()
     suspects = Suspects(policy=QuarantinePolicy())
     admission = Admission(slots=1, queue=1, policy=AdmissionPolicy())
-    memo = FenceMemo(
-        host=record.host,
-        incarnation=record.incarnation,
-        started_ms=now_ms,
-        policy=FencePolicy(),
-        max_entries=MEMO_MAX_ENTRIES,
-        max_bytes=MEMO_MAX_BYTES,
-    )
+    memo = _build_memo(record, now_ms)
     ledger = AllowanceLedger()
     contexts = ContextRegistry()
     view = View(self_record=record)
@@ -97,8 +89,9 @@
         contexts=contexts,
         check=check,
         fold_level=_level_folder(policy, levels),
-        list_age_ms=_list_age(view),
+        list_age_ms=lambda at: at.now_ms - view.targets_changed_ms(record.service),
     )
+    membership = MembershipPolicy()
     return NodeState(
         record=record,
         random=random,
@@ -113,18 +106,33 @@
         view=view,
         failures=FailureTracker(policy=membership),
         pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
-        picker=Picker(
-            host=record.host,
-            availability_zone=record.availability_zone,
-            policy=RoutingPolicy(),
-            random=random,
-        ),
+        picker=_build_picker(record, random),
         ballots=Ballots(host=record.host, incarnation=record.incarnation),
         check=check,
         target=target,
     )
 
 
+def _build_memo(record: MemberRecord, now_ms: float) -> FenceMemo:
+    return FenceMemo(
+        host=record.host,
+        incarnation=record.incarnation,
+        started_ms=now_ms,
+        policy=FencePolicy(),
+        max_entries=MEMO_MAX_ENTRIES,
+        max_bytes=MEMO_MAX_BYTES,
+    )
+
+
+def _build_picker(record: MemberRecord, random: Random) -> Picker:
+    return Picker(
+        host=record.host,
+        availability_zone=record.availability_zone,
+        policy=RoutingPolicy(),
+        random=random,
+    )
+
+
 def _level_folder(
     policy: Callable[[], Policy | None], levels: LevelTable
 ) -> Callable[[Instant, str, ShedLevel], ShedLevel]:
@@ -141,7 +149,3 @@
         return min(own, levels.strictest(at.now_ms, route.calls), NOTHING_SHED)
 
     return fold
-
-
-def _list_age(view: View) -> Callable[[Instant], float]:
-    return lambda at: at.now_ms - view.changed_ms
