--- a/src/jacinthshed/internal/bundle/routes.py
+++ b/src/jacinthshed/internal/bundle/routes.py
@@ -34,6 +34,7 @@
         self.depth = 0
 
     def add(self, name: str, route: Route) -> None:
+        """Add the route ``name`` under each of its methods."""
         path = route.path.rstrip("/").encode()
         self.depth = max(self.depth, path.count(b"/"))
         for method in route.methods:
--- a/src/jacinthshed/internal/cli/signing_commands.py
+++ b/src/jacinthshed/internal/cli/signing_commands.py
@@ -8,7 +8,9 @@
 from returns.result import Failure, Result, Success
 
 from ..bundle.document import BundleError
+from ..bundle.order import BundleOrder
 from ..bundle.signing import (
+    Envelope,
     SignedBundle,
     TrustedOperators,
     envelope_bytes,
@@ -101,7 +103,10 @@
     for step in (above, key):
         if isinstance(step, Failure):
             return refuse(step.failure())
-    signed = sign(found.envelope, operator, key.unwrap())
+    return _write_signed(output, sign(found.envelope, operator, key.unwrap()), found)
+
+
+def _write_signed(output: Path, signed: Envelope, found: BundleFile) -> int:
     written = write_output(output, envelope_bytes(signed))
     if isinstance(written, Failure):
         return refuse(written.failure())
@@ -177,7 +182,10 @@
     opened = _open(file, trusted.unwrap())
     if isinstance(opened, Failure):
         return refuse_bundle(opened.failure(), as_json=as_json)
-    order = opened.unwrap().order
+    return _print_verified(file, opened.unwrap().order, as_json=as_json)
+
+
+def _print_verified(file: Path, order: BundleOrder, *, as_json: bool) -> int:
     if as_json:
         head = {"version": order.version, "digest": order.digest.hex()}
         return print_json({"ok": True, **head})
