--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -8,6 +8,7 @@
 
 from ..bundle.model import DrainPolicy
 from ..bundle.signing import TrustedOperators
+from ..bundle.store import BundleStore
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
 from ..http.network import Network, StreamHandler
@@ -20,6 +21,7 @@
 from ..wire.frames import MemberRecord
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
 from .parts import NodeParts, Surroundings, build_parts
+from .platform_parts import build_platform_tasks, build_reader, read_listed_hosts
 from .policy_holder import PolicyHolder
 from .state import build_state
 
@@ -115,16 +117,15 @@
             peer_address=peer_address,
             started_ms=wall_ms,
         )
-        holder_box: list[PolicyHolder] = []
+        store = BundleStore(trusted=self._trusted, deployment=settings.deployment)
+        holder = PolicyHolder(store=store, log=self._log)
         state = build_state(
             record=record,
-            trusted=self._trusted,
+            store=store,
             random=self._random,
             now_ms=self._started_ms,
-            policy=lambda: holder_box[0].current(),
+            policy=holder.current,
         )
-        holder = PolicyHolder(store=state.store, log=self._log)
-        holder_box.append(holder)
         self._reader = build_reader(settings, self._random, self._clock)
         self._around = Surroundings(
             settings=settings,
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -15,7 +15,6 @@
     RetryPolicy,
     RoutingPolicy,
 )
-from ..bundle.signing import TrustedOperators
 from ..bundle.store import BundleStore
 from ..fence.ballot import Ballots
 from ..fence.instant import Instant
@@ -62,7 +61,7 @@
 def build_state(
     *,
     record: MemberRecord,
-    trusted: TrustedOperators,
+    store: BundleStore,
     random: Random,
     now_ms: float,
     policy: Callable[[], Policy | None],
@@ -95,7 +94,7 @@
     return NodeState(
         record=record,
         random=random,
-        store=BundleStore(trusted=trusted),
+        store=store,
         admission=admission,
         memo=memo,
         suspects=suspects,
