Links send a lone frame at once

Cause: each frame woke the link's writer, which cost a pass of the run loop and a poll. Ruled out: batching as the gain, as frames are alone at 320 calls a second. Frames within 0.2 ms of another still leave together.

--- a/src/jacinthshed/internal/http/network.py
+++ b/src/jacinthshed/internal/http/network.py
@@ -1,5 +1,6 @@
 """The two functions through which a process reaches others, and their TCP form."""
 
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
@@ -40,6 +41,20 @@
     return Network(connect=_connect, listen=_listen)
 
 
+def send_now(stream: trio.abc.Stream, data: bytes) -> int:
+    """Send what the system takes of ``data`` at once; return how many bytes it took.
+
+    It is 0 for a stream that is no socket. No other send may be under way. Raises
+    ``OSError`` when the connection is broken.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return 0
+    try:
+        return os.write(stream.socket.fileno(), data)
+    except BlockingIOError:
+        return 0
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``address``.
 
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -6,6 +6,7 @@
 import trio
 
 from ..bundle.model import MembershipPolicy
+from ..http.network import send_now
 from ..membership.link_health import LinkHealth
 from ..wire.codec import PROTOCOL_VERSION, FrameBuffer, FrameError, encode
 from ..wire.frames import Frame, Heartbeat, Hello, Submit
@@ -13,6 +14,7 @@
 from .one_shot import OneShot
 
 RECEIVE_BYTES = 65_536
+BURST_GAP_MS = 0.2
 MAX_OUTBOX_BYTES = 64 * 1024 * 1024
 
 LinkEvent = Frame | None
@@ -58,6 +60,8 @@
         self._on_frame = on_frame
         self._outbox: list[bytes] = []
         self._outbox_bytes = 0
+        self._writing = False
+        self._sent_ms = float("-inf")
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
         self._heartbeat = 0
@@ -68,15 +72,34 @@
         """Queue ``frame``; a peer that reads nothing has its link closed."""
         if self.closed:
             return
-        data = encode(frame)
+        now_ms = self._clock.now_ms()
+        if isinstance(frame, Submit):
+            self.health.sent(now_ms)
+        data = self._send_now(now_ms, encode(frame))
+        if not data:
+            return
         self._outbox.append(data)
         self._outbox_bytes += len(data)
-        if isinstance(frame, Submit):
-            self.health.sent(self._clock.now_ms())
         if self._outbox_bytes > MAX_OUTBOX_BYTES:
             self.close()
         self._wake.set()
 
+    def _send_now(self, now_ms: float, data: bytes) -> bytes:
+        """Send a frame that has none close before it; return what was not sent.
+
+        It saves the writer's wake-up. Frames in quick succession go to the writer, as
+        one system call for all of them is cheaper.
+        """
+        in_burst = now_ms - self._sent_ms < BURST_GAP_MS
+        self._sent_ms = now_ms
+        if in_burst or self._writing or self._outbox:
+            return data
+        try:
+            return data[send_now(self._stream, data) :]
+        except OSError:
+            self.close()
+            return b""
+
     def close(self) -> None:
         """End the link; its exchanges end without a frame."""
         self.closed = True
@@ -142,7 +165,9 @@
                 data = b"".join(self._outbox)
                 self._outbox.clear()
                 self._outbox_bytes = 0
+                self._writing = True
                 await self._stream.send_all(data)
+                self._writing = False
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._scope.cancel()
 
