--- a/src/jacinthshed/internal/caller/settling.py
+++ b/src/jacinthshed/internal/caller/settling.py
@@ -26,6 +26,7 @@
     result = read_response(response)
     if isinstance(result, Success):
         answer = result.unwrap()
+        # An answer comes from a target, as a refusal for load does.
         verdict = record.settle(
             answer.verdict, Reason.SHED, may_have_run_before=may_have_run_before
         )
--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -6,8 +6,8 @@
 import trio
 
 from .errors import BadResponseError
-from .exchange import ClientConnection, Informational
-from .message import Request
+from .exchange import ClientConnection
+from .message import Informational, Request
 from .network import Connect
 from .outcome import ExchangeFailed, Outcome
 
@@ -106,7 +106,8 @@
             return ExchangeFailed(connection.sent, str(error))
         except h11.LocalProtocolError as error:
             text = f"the request can't be written: {error}"
-            return ExchangeFailed(False, text, unwritable=True)
+            sent = connection.sent
+            return ExchangeFailed(sent, text, unwritable=not sent)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return ExchangeFailed(connection.sent, "the connection broke")
         finally:
--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -1,7 +1,5 @@
 """One connection to a backend server, and one exchange on it."""
 
-from collections.abc import Awaitable, Callable
-
 import h11
 import trio
 
@@ -9,14 +7,13 @@
 from .head import HEAD_END
 from .message import (
     CONTENT_LENGTH,
+    Informational,
     Request,
     Response,
     without_connection_fields,
 )
 from .response_head import ResponseHead, read_response_head
 
-Informational = Callable[[Response], Awaitable[None]]
-
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
--- a/src/jacinthshed/internal/http/message.py
+++ b/src/jacinthshed/internal/http/message.py
@@ -1,5 +1,6 @@
 """HTTP messages as they travel through a node, free of any connection's framing."""
 
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 Header = tuple[bytes, bytes]
@@ -49,6 +50,10 @@
     body: bytes = b""
 
 
+# Takes an interim response, to be passed on before the final one.
+Informational = Callable[[Response], Awaitable[None]]
+
+
 def header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of the field with the lower-case ``name``."""
     for field, value in headers:
--- a/src/jacinthshed/internal/http/network.py
+++ b/src/jacinthshed/internal/http/network.py
@@ -75,13 +75,8 @@
 ) -> None:
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
-    bound = _printed(listeners[0].socket.getsockname())
-
-    async def report_and_serve() -> None:
-        task_status.started(bound)
-        await trio.serve_listeners(handler, listeners)
-
-    await report_and_serve()
+    task_status.started(_printed(listeners[0].socket.getsockname()))
+    await trio.serve_listeners(handler, listeners)
 
 
 def _printed(name: tuple[Any, ...]) -> str:
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -11,12 +11,11 @@
 from .drain import Drain
 from .errors import BadRequestError
 from .limits import HttpLimits
-from .message import Request, Response
+from .message import Informational, Request, Response
 from .problem import malformed_response, refusal_response
 from .request_reader import IncomingRequest, RequestReader
 from .response_writer import encode_interim, encode_last, encode_response
 
-Informational = Callable[[Response], Awaitable[None]]
 RequestHandler = Callable[[Request, Informational], Awaitable[Response]]
 
 _MS_PER_S = 1_000
