Refusals before anything is read or proven are not told as 'not run' of a resend

Cause: a resend that met a full listener, a malformed field, a leaving entry or a broken body was answered 'not run', which was true of that copy and false of its key: a caller that believes it books again under a new key. Ruled out: the flows, which already ask the fence's target. Now such a refusal says 'may have run' unless the key is declared new. The check of the connection limit asked for 'not run'; it now asks for 'may have run', which is the stricter word. A marked resend of the caller library brings no allowance of its own, so one request's attempts at the deepest service are bounded by its copies plus one allowance, no longer by their product. Also: admission lines, counted metrics and gauges, connection and body limits are wired.

--- a/src/jacinthshed/internal/caller/caller.py
+++ b/src/jacinthshed/internal/caller/caller.py
@@ -149,6 +149,7 @@
         record.may_have_run = True
         outcome = await self._exchange(submission, request)
         submission.lost_entry = isinstance(outcome, ExchangeFailed)
+        submission.is_resend |= isinstance(outcome, Response) or outcome.sent
         if isinstance(outcome, Response):
             submission.unreached = 0
             return settle_response(outcome, record, may_have_run_before)
--- a/src/jacinthshed/internal/caller/submission.py
+++ b/src/jacinthshed/internal/caller/submission.py
@@ -6,6 +6,7 @@
 from .key_record import KeyRecord
 
 KEY_FIELD = b"idempotency-key"
+RESEND_FIELD = b"jacinthshed-resend"
 INTERIM_FIELD = b"jacinthshed-interim"
 FENCE_FIELD = b"jacinthshed-fence"
 DEADLINE_FIELD = b"jacinthshed-deadline-ms"
@@ -26,6 +27,8 @@
 
     ``deadline_s`` is on the monotonic clock. ``unreached`` counts entry nodes in a
     row that could not be reached; ``lost_entry`` tells that the last one broke off.
+    ``is_resend`` tells that a copy has left before, which spends the retry allowance
+    of the request: entry nodes give a marked copy none of their own.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         self.resends = resends
         self.unreached = 0
         self.lost_entry = False
+        self.is_resend = False
 
     @property
     def entry(self) -> str:
@@ -71,6 +75,8 @@
         fields.extend(draft.headers)
         fields.append((DEADLINE_FIELD, left))
         fields.append((INTERIM_FIELD, b"1"))
+        if self.is_resend:
+            fields.append((RESEND_FIELD, b"1"))
         if self.record.key:
             fields.append((KEY_FIELD, self.record.key.encode()))
         if self.record.fence_to_send:
--- a/src/jacinthshed/internal/flow/call.py
+++ b/src/jacinthshed/internal/flow/call.py
@@ -11,6 +11,7 @@
     ``ledger_id`` names the account that its attempts' allowance comes from: its own
     for a root request, the parent's for a nested one. ``services_below`` are the
     services on the declared path. ``key`` is empty for an idempotent request.
+    ``allowance`` is what a root request is given for the whole tree below it.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     invested: int
     key: str
     ledger_id: str
+    allowance: int
     parent_id: str
     caller: str
 
--- a/src/jacinthshed/internal/flow/intake.py
+++ b/src/jacinthshed/internal/flow/intake.py
@@ -24,6 +24,7 @@
 KEY_HEADER = b"idempotency-key"
 FENCE_HEADER = b"jacinthshed-fence"
 DEADLINE_HEADER = b"jacinthshed-deadline-ms"
+RESEND_HEADER = b"jacinthshed-resend"
 CONTEXT_HEADER = b"jacinthshed-context"
 SYSTEM_PREFIX = b"jacinthshed-"
 HOST_HEADER = b"host"
@@ -115,6 +116,7 @@
         deadline_wall_ms=arrival.wall_ms + int(left_ms),
         invested=parent.invested + arrival.calls_done if parent else 0,
         key=_key_of(path, arrival),
+        allowance=_allowance(request.headers, policy),
         ledger_id=parent.request_id if parent else arrival.request_id,
         parent_id=parent.request_id if parent else "",
         caller=arrival.caller,
@@ -140,6 +142,16 @@
     return refusal
 
 
+def _allowance(headers: Headers, policy: Policy) -> int:
+    """Return the allowance of a root request; a caller's marked resend gets none.
+
+    A caller that resends spends what its request was allowed. A mark can only lower
+    what a request gets, so it is taken from outside.
+    """
+    is_resend = header(headers, RESEND_HEADER) is not None
+    return 0 if is_resend else policy.bundle.retry.allowance
+
+
 def _undeclared(
     match: RouteMatch, parent: ParentContext | None, policy: Policy
 ) -> str | None:
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -32,7 +32,7 @@
     Every method that takes a moment ``at`` returns what has to be done at that moment.
     ``fold_level`` combines this target's shed level with those of the services that a
     route calls. ``list_age_ms`` is the time since a target of this service came or
-    went.
+    went. ``log`` takes an event and its fields.
     """
 
     def __init__(
@@ -48,6 +48,7 @@
         check: ArrivalCheck,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
         list_age_ms: Callable[[Instant], float],
+        log: Callable[..., None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
@@ -59,6 +60,7 @@
         self._check = check
         self._fold_level = fold_level
         self._list_age_ms = list_age_ms
+        self._log = log
         self._jobs = JobTable()
         self._nested_ms: dict[str, float] = {}
 
@@ -171,6 +173,8 @@
             deadline_at_ms=job.deadline_at_ms,
         )
         decisions = self._admission.offer(at.now_ms, work, submit.route)
+        if not any(decision.ticket == job.ticket for decision in decisions):
+            self._log_admission("queued", submit)
         return self._apply(at, decisions)
 
     def _apply(self, at: Instant, decisions: list[Decision]) -> list[TargetAction]:
@@ -206,6 +210,7 @@
     def _start(self, at: Instant, job: Job) -> Dispatch:
         submit = job.submit
         job.started_at_ms = at.now_ms
+        self._log_admission("started", submit)
         if submit.fence:
             self._memo.dispatched(submit.key)
         self._suspects.started(job.fingerprint)
@@ -245,6 +250,7 @@
         self, at: Instant, job: Job, refusal: Refusal
     ) -> list[TargetAction]:
         submit = job.submit
+        self._log_admission("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         return self._reply_all(at, job, refusal_reply(submit.request_id, refusal))
@@ -252,6 +258,7 @@
     def _refuse_arrival(
         self, at: Instant, link: int, submit: Submit, refusal: Refusal
     ) -> Send:
+        self._log_admission("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         reply = refusal_reply(submit.request_id, refusal)
@@ -285,6 +292,18 @@
         self._forget(job)
         return []
 
+    def _log_admission(
+        self, outcome: str, submit: Submit, refusal: Refusal | None = None
+    ) -> None:
+        self._log(
+            "admission",
+            request_id=submit.request_id.partition(".")[0],
+            route=submit.route,
+            rank=submit.rank,
+            outcome=outcome,
+            reason="" if refusal is None else refusal.reason,
+        )
+
     def _forget(self, job: Job) -> None:
         self._jobs.remove(job)
         self._nested_ms.pop(job.submit.request_id, None)
--- a/src/jacinthshed/internal/http/connection_limit.py
+++ b/src/jacinthshed/internal/http/connection_limit.py
@@ -14,8 +14,8 @@
 def limit_connections(handler: StreamHandler, *, max_connections: int) -> StreamHandler:
     """Return ``handler`` for up to ``max_connections`` connections at once.
 
-    A connection above that gets a refusal with the verdict ``not-run`` and is closed,
-    before anything is read from it.
+    A connection above that gets a refusal with the verdict ``may-have-run`` and is
+    closed, before anything is read from it.
     """
     open_connections = 0
 
@@ -44,7 +44,8 @@
 
 def _refusal() -> bytes:
     detail = "this listener has no connection free; use open connections again"
-    refusal = Refusal(Verdict.NOT_RUN, Reason.SHED, _RETRY_AFTER_MS, detail)
+    # Nothing is read, so it may be a resend of what ran before.
+    refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.SHED, _RETRY_AFTER_MS, detail)
     return encode_last(refusal_response(refusal))
 
 
--- a/src/jacinthshed/internal/http/problem.py
+++ b/src/jacinthshed/internal/http/problem.py
@@ -42,8 +42,8 @@
     return Response(chosen, tuple(headers), msgspec.json.encode(document))
 
 
-def malformed_response(status: int, detail: str) -> Response:
+def malformed_response(status: int, detail: str, verdict: Verdict) -> Response:
     """Return the response to bytes that never became a request."""
     reason = Reason.TOO_LARGE if status in (413, 431) else Reason.MALFORMED
-    refusal = Refusal(Verdict.NOT_RUN, reason, detail=detail)
+    refusal = Refusal(verdict, reason, detail=detail)
     return refusal_response(refusal, status=status)
--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -1,6 +1,7 @@
 """Reads whole requests from one connection."""
 
 import math
+import re
 from typing import NamedTuple
 
 import h11
@@ -14,6 +15,8 @@
 
 _RECEIVE_BYTES = 65_536
 _MS_PER_S = 1_000
+_KEY_FIELD = b"\nidempotency-key"
+_NEW_KEY_FIELD = re.compile(rb"\njacinthshed-fence:\s*new\s*\r?\n")
 
 
 class IncomingRequest(NamedTuple):
@@ -43,6 +46,7 @@
         self._limits = limits
         self._drain = drain
         self._received = bytearray()
+        self._head = b""
 
     async def read(self) -> IncomingRequest | None:
         """Return the next request, or ``None`` when the connection is over.
@@ -101,8 +105,19 @@
         self._received += data
         return bool(data)
 
+    @property
+    def may_be_resend(self) -> bool:
+        """Whether what was read so far carries a key that may have been sent before.
+
+        It is a search in raw bytes, as it is asked about what could not be parsed.
+        """
+        seen = bytes(self._head or self._received).lower()
+        return _KEY_FIELD in seen and _NEW_KEY_FIELD.search(seen) is None
+
     async def _read_whole(self) -> IncomingRequest:
+        self._head = b""
         head = await self._read_head()
+        self._head = head
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
         )
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -140,10 +140,13 @@
         Closing while received bytes are unread makes the kernel reset the connection,
         and the client would lose the refusal.
         """
+        verdict = Verdict.NOT_RUN
+        if self._reader.may_be_resend:
+            # This copy did not run. An earlier one may have.
+            verdict = Verdict.MAY_HAVE_RUN
+        response = malformed_response(error.status, error.detail, verdict)
         with trio.move_on_after(_LINGER_S):
-            await self._stream.send_all(
-                encode_last(malformed_response(error.status, error.detail))
-            )
+            await self._stream.send_all(encode_last(response))
             if isinstance(self._stream, trio.abc.HalfCloseableStream):
                 await self._stream.send_eof()
             received = 0
--- a/src/jacinthshed/internal/node/daemon.py
+++ b/src/jacinthshed/internal/node/daemon.py
@@ -9,7 +9,8 @@
 
 from ..http.network import Network, tcp_network
 from ..settings.model import NodeSettings
-from ..telemetry.log import configure_logging, decision
+from ..telemetry.counted import counted
+from ..telemetry.log import configure_logging
 from ..telemetry.metrics import Metrics, send_metrics
 from .node import Node, NodeAddresses
 
@@ -35,7 +36,7 @@
         nursery.start_soon(sink.run)
         statsd = settings.metrics.statsd
         if statsd is not None:
-            nursery.start_soon(_send_metrics, metrics, settings)
+            nursery.start_soon(_send_metrics, metrics, settings, node)
         nursery.start_soon(_leave_on_signal, node)
         code = await _serve(nursery, node)
         nursery.cancel_scope.cancel()
@@ -48,7 +49,7 @@
         trusted=settings.operators,
         network=network,
         random=SystemRandom(),
-        log=decision,
+        log=counted(metrics),
         metrics=metrics,
     )
 
@@ -78,11 +79,12 @@
             node.leave()
 
 
-async def _send_metrics(metrics: Metrics, settings: NodeSettings) -> None:
+async def _send_metrics(metrics: Metrics, settings: NodeSettings, node: Node) -> None:
     assert settings.metrics.statsd is not None
     await send_metrics(
         metrics,
         host=settings.metrics.statsd.ip,
         port=settings.metrics.statsd.port,
         prefix=settings.metrics.prefix,
+        read_gauges=node.gauges,
     )
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -124,7 +124,7 @@
             return refusal_response(refusal, request_id=request_id)
         call = intake.unwrap().call
         port = self._port(request, call, interim)
-        end = await self._run(intake.unwrap(), policy, port)
+        end = await self._run(intake.unwrap(), port)
         return _response(request_id, end)
 
     def _arrival(
@@ -150,12 +150,11 @@
             held_fence=self._contexts.take_fence(parent.request_id, key) or FRESH_FENCE,
         )
 
-    async def _run(self, intake: Intake, policy: Policy, port: CallerPort) -> CallEnd:
+    async def _run(self, intake: Intake, port: CallerPort) -> CallEnd:
         call = intake.call
         began_ms = self._clock.now_ms()
         if not call.parent_id:
-            allowance = policy.bundle.retry.allowance
-            self._ledger.open(call.ledger_id, allowance)
+            self._ledger.open(call.ledger_id, call.allowance)
         try:
             flow = choose_flow(intake, self._tools)
             end = await drive(
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -6,9 +6,10 @@
 
 import trio
 
-from ..bundle.model import DrainPolicy
+from ..bundle.model import DrainPolicy, SizeLimits
 from ..bundle.signing import TrustedOperators
 from ..bundle.store import BundleStore
+from ..http.connection_limit import limit_connections
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
 from ..http.network import Network, StreamHandler
@@ -76,6 +77,20 @@
         """Whether the node has begun to leave."""
         return self._leave_asked.is_set()
 
+    def gauges(self) -> dict[str, float]:
+        """Return the node's present figures, by their names as metrics."""
+        if self._parts is None:
+            return {}
+        state = self._parts.state
+        return {
+            "admission.limit": state.admission.limit,
+            "admission.running": state.admission.in_flight,
+            "admission.waiting": state.admission.waiting,
+            "calls.in_flight": self._parts.gateway.in_flight,
+            "members": len(state.view.hosts()) + 1,
+            "bundle.version": self._parts.holder.order.version,
+        }
+
     def leave(self) -> None:
         """Begin a graceful shutdown; ``run`` returns at its end."""
         self._leave_asked.set()
@@ -125,6 +140,7 @@
             random=self._random,
             now_ms=self._started_ms,
             policy=holder.current,
+            log=self._log,
         )
         self._reader = build_reader(settings, self._random, self._clock)
         self._around = Surroundings(
@@ -220,7 +236,10 @@
     ) -> None:
         http = self._settings.http
         limits = HttpLimits(
-            head_bytes=http.head_bytes, idle_ms=http.idle_ms, read_ms=http.read_ms
+            head_bytes=http.head_bytes,
+            body_bytes=self._body_bytes(),
+            idle_ms=http.idle_ms,
+            read_ms=http.read_ms,
         )
         await serve_connection(
             stream,
@@ -230,13 +249,19 @@
             cancel_on_disconnect=True,
         )
 
+    def _body_bytes(self) -> int:
+        policy = self._parts.holder.current() if self._parts else None
+        return (policy.bundle.sizes if policy else SizeLimits()).request_bytes
+
     async def _serve_http(
         self,
         nursery: trio.Nursery,
         address: Address,
         handler: StreamHandler,
     ) -> str:
-        bound: str = await nursery.start(self._listen, str(address), handler)
+        limit = self._settings.http.connections
+        limited = limit_connections(handler, max_connections=limit)
+        bound: str = await nursery.start(self._listen, str(address), limited)
         return bound
 
     async def _listen(
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -65,6 +65,7 @@
     random: Random,
     now_ms: float,
     policy: Callable[[], Policy | None],
+    log: Callable[..., None],
 ) -> NodeState:
     """Return the state of a node that has just started and knows nothing.
 
@@ -89,6 +90,7 @@
         check=check,
         fold_level=_level_folder(policy, levels),
         list_age_ms=lambda at: at.now_ms - view.targets_changed_ms(record.service),
+        log=log,
     )
     membership = MembershipPolicy()
     return NodeState(
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -119,7 +119,8 @@
             first, second, third = [await network.connect(address) for _ in range(3)]
             refused = await receive_all(third)
             assert refused.startswith(b"HTTP/1.1 503")
-            assert b"jacinthshed-verdict: not-run" in refused
+            # What is refused unread may be a resend of what ran before.
+            assert b"jacinthshed-verdict: may-have-run" in refused
             await first.send_all(REQUEST)
             assert (await first.receive_some()).startswith(b"HTTP/1.1 200")
             await second.aclose()
--- a/tests/cover/test_node_sessions.py
+++ b/tests/cover/test_node_sessions.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from jacinthshed import Reason, Verdict
-from jacinthshed.internal.http.message import Request
+from jacinthshed.internal.http.message import Request, header
 from jacinthshed.internal.standin.backend_state import ShedAnswer
 from jacinthshed.internal.standin.platform_state import Mode
 from tests.common.fleet import run_virtual, running_fleet
@@ -227,3 +227,50 @@
             assert 1 < calls <= 1 + ALLOWANCE
 
     run_virtual(main)
+
+
+def test_a_refusal_of_a_resend_is_not_told_as_not_run():
+    """Nothing was sent from here, but an earlier copy may have run."""
+
+    async def main():
+        async with running_fleet(single_layout(1), single_bundle()) as fleet:
+            key = (b"idempotency-key", b"k")
+            first = Request(
+                b"POST", b"/orders/book", (*HOST, key, (b"jacinthshed-fence", b"new"))
+            )
+            assert verdict(await fleet.send("orders-0", first)) == b"ran"
+            resend = Request(b"POST", b"/orders/book", (*HOST, key))
+            too_large = resend._replace(body=b"x" * 2_000_000)
+            assert verdict(await fleet.send("orders-0", too_large)) == b"may-have-run"
+            deadline = (b"jacinthshed-deadline-ms", b"soon")
+            malformed = resend._replace(headers=(*resend.headers, deadline))
+            assert verdict(await fleet.send("orders-0", malformed)) == b"may-have-run"
+            fleet["orders-0"].node.leave()
+            await trio.sleep(0.1)
+            assert verdict(await fleet.send("orders-0", resend)) == b"may-have-run"
+            assert fleet.total_starts("k") == 1
+
+    run_virtual(main)
+
+
+def test_a_marked_resend_brings_no_allowance_of_its_own():
+    async def main():
+        options = {"orders": {"slots": 0}}
+        async with running_fleet(single_layout(4), single_bundle(), options) as fleet:
+            for host in fleet.hosts.values():
+                host.backend.shed_answer = ShedAnswer.BARE
+            lookup = Request(b"GET", b"/orders/lookup", HOST)
+            await fleet.send("orders-0", lookup)
+            first = sum(host.backend.shed for host in fleet.hosts.values())
+            mark = (b"jacinthshed-resend", b"1")
+            resend = lookup._replace(headers=(*HOST, mark))
+            await fleet.send("orders-0", resend)
+            total = sum(host.backend.shed for host in fleet.hosts.values())
+            assert first == 1 + ALLOWANCE
+            assert total - first == 1
+
+    run_virtual(main)
+
+
+def verdict(response):
+    return header(response.headers, b"jacinthshed-verdict")
