Callers that ignore Retry-After are held; a dead backend server draws no work

Cause: nothing told a resend of a plain HTTP caller from a fresh request, so hard retries were all taken in; and a target whose backend server was gone answered at once, looked idle and drew more. Ruled out for the latter: the picker's own back-off, which only link failures set off. An entry now remembers what it asked a caller to wait for, and lets early repeats through at the ratio of the bundle; a node probes its backend server and counts only whether it accepts connections.

--- a/src/jacinthshed/internal/flow/arrival_check.py
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -11,6 +11,7 @@
 
 ALONE_RETRY_AFTER_MS = 100
 LEAVING_RETRY_AFTER_MS = 50
+DOWN_RETRY_AFTER_MS = 500
 NO_BUNDLE_RETRY_AFTER_MS = 500
 
 
@@ -23,6 +24,7 @@
         self._policy = policy
         self._suspects = suspects
         self._refusing = False
+        self.backend_is_up = True
 
     def refuse_new_work(self) -> None:
         """Refuse all new work from now on."""
@@ -40,6 +42,9 @@
             return _refuse(Reason.KEY_REQUIRED, 0, detail)
         if self._refusing:
             return _refuse(Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
+        if not self.backend_is_up:
+            detail = "the backend server accepts no connection"
+            return _refuse(Reason.UNREACHABLE, DOWN_RETRY_AFTER_MS, detail)
         if submit.deadline_ms <= 0 or self.is_late(at, submit):
             return _refuse(Reason.DEADLINE, 0)
         return self._suspicion(at, mark)
--- a/src/jacinthshed/internal/flow/call.py
+++ b/src/jacinthshed/internal/flow/call.py
@@ -32,6 +32,7 @@
     key: str
     ledger_id: str
     allowance: int
+    is_resend: bool
     parent_id: str
     caller: str
 
--- a/src/jacinthshed/internal/flow/intake.py
+++ b/src/jacinthshed/internal/flow/intake.py
@@ -117,6 +117,7 @@
         invested=parent.invested + arrival.calls_done if parent else 0,
         key=_key_of(path, arrival),
         allowance=_allowance(request.headers, policy),
+        is_resend=header(request.headers, RESEND_HEADER) is not None,
         ledger_id=parent.request_id if parent else arrival.request_id,
         parent_id=parent.request_id if parent else "",
         caller=arrival.caller,
--- a/src/jacinthshed/internal/flow/tools.py
+++ b/src/jacinthshed/internal/flow/tools.py
@@ -20,7 +20,8 @@
     ``may_replace_fence`` tells whether this node is the fence's only holder.
     ``next_ballot`` makes a ballot above the given one.
     ``refuse`` gives the refusal when a service on the path would shed this call now or
-    the request is in quarantine.
+    the request is in quarantine. ``note_refusal`` remembers the wait that a caller was
+    asked for.
     """
 
     now_ms: Callable[[], float]
@@ -34,6 +35,7 @@
     may_retry: Callable[[Call], bool]
     may_replace_fence: Callable[[Call], bool]
     refuse: Callable[[Call], Refusal | None]
+    note_refusal: Callable[[Call, Refusal], None]
     mint: Callable[[str, int, str], Fence]
     next_ballot: Callable[[str], str]
     key_lifetime_ms: Callable[[], int]
--- a/src/jacinthshed/internal/http/network.py
+++ b/src/jacinthshed/internal/http/network.py
@@ -41,6 +41,16 @@
     return Network(connect=_connect, listen=_listen)
 
 
+def peer_name(stream: trio.abc.Stream) -> str:
+    """Return the IP address at the other end, or ``""`` where there is none."""
+    if not isinstance(stream, trio.SocketStream):
+        return ""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        return ""
+
+
 def send_now(stream: trio.abc.Stream, data: bytes) -> int:
     """Send what the system takes of ``data`` at once; return how many bytes it took.
 
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -21,6 +21,7 @@
 from .state import NodeState
 
 NODE_CALLER = "node"
+RESEND_WAIT_MS = 2_000
 _NO_SERVICE = frozenset({Reason.UNREACHABLE, Reason.NO_BUNDLE, Reason.CRASHED})
 
 LogDecision = Callable[..., None]
@@ -58,6 +59,7 @@
         may_retry=partial(_may_retry, around),
         may_replace_fence=partial(_may_replace_fence, around),
         refuse=partial(_refuse, around),
+        note_refusal=partial(_note_refusal, around),
         mint=partial(_mint, around),
         next_ballot=lambda above: state.ballots.make(clock.wall_ms(), above=above),
         key_lifetime_ms=lambda: around.fences.key_lifetime_ms,
@@ -138,10 +140,14 @@
 def _refuse(around: CallSurroundings, call: Call) -> Refusal | None:
     now_ms = around.clock.now_ms()
     state = around.state
+    mark = _mark(call)
     state.resends.fresh(NODE_CALLER)
-    check = state.suspects.check(now_ms, _mark(call))
+    check = state.suspects.check(now_ms, mark)
     if isinstance(check, Quarantined):
         return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, check.retry_after_ms)
+    if not call.parent_id and not _is_within_resends(around, call, mark):
+        around.log("resend_refused", request_id=call.request_id, caller=call.caller)
+        return Refusal(Verdict.NOT_RUN, Reason.RETRY_LIMIT, RESEND_WAIT_MS)
     wait_ms = state.levels.refuses(
         now_ms, (call.route,), call.rank, call.root_hash, state.random.random()
     )
@@ -151,6 +157,23 @@
     return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
 
 
+def _is_within_resends(around: CallSurroundings, call: Call, mark: int) -> bool:
+    """Return whether the caller may send this now; a fresh request always may."""
+    state = around.state
+    now_ms = around.clock.now_ms()
+    is_early = state.refused.is_early(now_ms, call.caller, mark)
+    if is_early or call.is_resend:
+        return state.resends.try_resend(call.caller, now_ms)
+    state.resends.fresh(call.caller)
+    return True
+
+
+def _note_refusal(around: CallSurroundings, call: Call, refusal: Refusal) -> None:
+    now_ms = around.clock.now_ms()
+    retry_after_ms = refusal.retry_after_ms
+    around.state.refused.note(now_ms, call.caller, _mark(call), retry_after_ms)
+
+
 def _mint(around: CallSurroundings, host: str, incarnation: int, ballot: str) -> Fence:
     return mint(
         host=host,
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -36,6 +36,7 @@
 from .observer import ExchangeObserver
 
 INTERIM_STATUS = 100
+EGRESS_CALLER = "egress"
 INTERIM_HEADER = b"jacinthshed-interim"
 VERDICT_HEADER = b"jacinthshed-verdict"
 REQUEST_HEADER = b"jacinthshed-request"
@@ -82,30 +83,40 @@
         self._log = log
         self.in_flight = 0
 
-    async def serve_entry(self, request: Request, interim: Informational) -> Response:
-        """Answer a request from a caller; system headers on it mean nothing."""
+    async def serve_entry(
+        self, request: Request, interim: Informational, *, caller: str = ""
+    ) -> Response:
+        """Answer a request from ``caller``; a context on it means nothing."""
         if self._is_leaving():
             refusal = Refusal(Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return refusal_response(refuse_early(request.headers, refusal))
-        return await self._serve(request, interim, None)
+        return await self._serve(request, interim, None, caller)
 
     async def serve_egress(self, request: Request, interim: Informational) -> Response:
         """Answer a call of this node's own backend server."""
         context = header(request.headers, CONTEXT_HEADER) or b""
         parent = self._contexts.get(context.decode("ascii", "replace"))
-        return await self._serve(request, interim, parent)
+        return await self._serve(request, interim, parent, EGRESS_CALLER)
 
     async def _serve(
-        self, request: Request, interim: Informational, parent: ParentContext | None
+        self,
+        request: Request,
+        interim: Informational,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Response:
         self.in_flight += 1
         try:
-            return await self._answer(request, interim, parent)
+            return await self._answer(request, interim, parent, caller)
         finally:
             self.in_flight -= 1
 
     async def _answer(
-        self, request: Request, interim: Informational, parent: ParentContext | None
+        self,
+        request: Request,
+        interim: Informational,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Response:
         await self._confirmed()
         policy = self._policy()
@@ -116,7 +127,7 @@
             )
             refusal = refuse_early(request.headers, refusal)
             return refusal_response(refusal, request_id=request_id)
-        arrival = self._arrival(request, request_id, parent)
+        arrival = self._arrival(request, request_id, parent, caller)
         intake = read_call(request, arrival, policy)
         if isinstance(intake, Failure):
             refusal = refuse_early(request.headers, intake.failure())
@@ -128,7 +139,11 @@
         return _response(request_id, end)
 
     def _arrival(
-        self, request: Request, request_id: str, parent: ParentContext | None
+        self,
+        request: Request,
+        request_id: str,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Arrival:
         arrival = Arrival(
             request_id=request_id,
@@ -136,7 +151,7 @@
             wall_ms=self._clock.wall_ms(),
             parent=parent,
             calls_done=0,
-            caller="entry",
+            caller=caller,
         )
         if parent is None:
             return arrival
@@ -145,7 +160,6 @@
         key = nested_key(parent, given, number)
         return arrival._replace(
             calls_done=self._contexts.calls_done(parent.request_id),
-            caller="egress",
             nested_key=key,
             held_fence=self._contexts.take_fence(parent.request_id, key) or FRESH_FENCE,
         )
@@ -192,6 +206,8 @@
     def _note_end(self, call: Call, end: CallEnd) -> None:
         if end.reply is not None and call.parent_id:
             self._contexts.add_calls_done(call.parent_id, 1 + end.reply.calls_done)
+        if end.refusal is not None and not call.parent_id:
+            self._tools.note_refusal(call, end.refusal)
         self._log_end(call.request_id, call.route, end.refusal)
 
     def _log_end(self, request_id: str, route: str, refusal: Refusal | None) -> None:
--- /dev/null
+++ b/src/jacinthshed/internal/node/health_task.py
@@ -0,0 +1,51 @@
+"""Watches whether the backend server beside the node accepts connections."""
+
+from collections.abc import Callable
+
+import trio
+
+from ..http.client import BackendPool
+from ..http.message import Request
+from ..http.outcome import ExchangeFailed
+from .clock import MS_PER_S
+
+PROBE_TIMEOUT_MS = 1_000
+MAX_HEALTH_BYTES = 65_536
+HOST_HEADER = (b"host", b"backend")
+
+
+class HealthTask:
+    """Probes the health endpoint.
+
+    What the endpoint says lags or misleads, so that only one thing counts: whether a
+    connection can be opened at all. ``on_change`` hears of each change.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: BackendPool,
+        path: str,
+        interval_ms: int,
+        on_change: Callable[[bool], None],
+    ) -> None:
+        self._pool = pool
+        self._request = Request(b"GET", path.encode(), (HOST_HEADER,))
+        self._interval_ms = interval_ms
+        self._on_change = on_change
+        self.is_up = True
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            is_up = await self._probe()
+            if is_up != self.is_up:
+                self.is_up = is_up
+                self._on_change(is_up)
+            await trio.sleep(self._interval_ms / MS_PER_S)
+
+    async def _probe(self) -> bool:
+        outcome = await self._pool.request(
+            self._request, timeout_ms=PROBE_TIMEOUT_MS, max_body_bytes=MAX_HEALTH_BYTES
+        )
+        return not isinstance(outcome, ExchangeFailed) or outcome.sent
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -1,6 +1,7 @@
 """One node: its listeners, its tasks and its graceful shutdown."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -9,18 +10,20 @@
 from ..bundle.model import DrainPolicy, SizeLimits
 from ..bundle.signing import TrustedOperators
 from ..bundle.store import BundleStore
+from ..http.client import BackendPool
 from ..http.connection_limit import limit_connections
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
-from ..http.network import Network, StreamHandler
+from ..http.network import Network, StreamHandler, peer_name
 from ..http.server import RequestHandler, serve_connection
 from ..membership.host_list import should_leave
 from ..membership.record_order import LIVE
 from ..settings.address import Address
-from ..settings.model import NodeSettings
+from ..settings.model import BackendSettings, NodeSettings
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
+from .health_task import HealthTask
 from .parts import NodeParts, Surroundings, build_parts
 from .platform_parts import build_platform_tasks, build_reader, read_listed_hosts
 from .policy_holder import PolicyHolder
@@ -162,9 +165,28 @@
     def _start_tasks(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         parts.links.start(nursery)
         parts.dispatcher.start(nursery)
+        if self._settings.backend is not None:
+            nursery.start_soon(self._health_task(self._settings.backend, parts).run)
         nursery.start_soon(parts.dispatcher.expire_waiting)
         nursery.start_soon(parts.membership.run)
 
+    def _health_task(self, backend: BackendSettings, parts: NodeParts) -> HealthTask:
+        def changed(is_up: bool) -> None:
+            self._log("backend_up" if is_up else "backend_down", host=backend.address)
+            parts.state.check.backend_is_up = is_up
+
+        pool = BackendPool(
+            connect=self._network.connect,
+            address=str(backend.address),
+            max_connections=1,
+        )
+        return HealthTask(
+            pool=pool,
+            path=backend.health_path,
+            interval_ms=backend.health_interval_ms,
+            on_change=changed,
+        )
+
     async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         """Hear peers and the platform before serving, but not for ever.
 
@@ -223,7 +245,8 @@
 
     async def _serve_entry(self, stream: trio.abc.Stream) -> None:
         assert self._parts is not None
-        handler = self._parts.gateway.serve_entry
+        caller = peer_name(stream)
+        handler = partial(self._parts.gateway.serve_entry, caller=caller)
         await self._serve(stream, handler, self._entry_drain)
 
     async def _serve_egress(self, stream: trio.abc.Stream) -> None:
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -28,6 +28,7 @@
 from ..membership.view import View
 from ..quarantine.suspects import Suspects
 from ..retry.allowance import AllowanceLedger
+from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
 from ..wire.frames import MemberRecord
@@ -47,6 +48,7 @@
     suspects: Suspects
     ledger: AllowanceLedger
     resends: ResendBucket
+    refused: RefusedLately
     contexts: ContextRegistry
     levels: LevelTable
     view: View
@@ -102,6 +104,7 @@
         suspects=suspects,
         ledger=ledger,
         resends=ResendBucket(policy=RetryPolicy()),
+        refused=RefusedLately(),
         contexts=contexts,
         levels=levels,
         view=view,
--- a/src/jacinthshed/internal/standin/backend_state.py
+++ b/src/jacinthshed/internal/standin/backend_state.py
@@ -67,7 +67,7 @@
         """Remember the present load, to be shown later."""
         now_s = trio.current_time()
         state = "draining" if self.draining else "live"
-        self._health.append(Health(now_s, self.in_hand / self.options.slots, state))
+        self._health.append(Health(now_s, self.in_hand / max(1, self.options.slots), state))
         shown_s = now_s - self.options.health_lag_ms / 1_000
         while len(self._health) > 1 and self._health[1].at_s <= shown_s:
             self._health.popleft()
--- a/tests/cover/test_node_sessions.py
+++ b/tests/cover/test_node_sessions.py
@@ -2,10 +2,12 @@
 
 from collections import Counter
 
+import msgspec
 import trio
 from returns.result import Failure, Success
 
 from jacinthshed import Reason, Verdict
+from jacinthshed.internal.bundle.model import RetryPolicy
 from jacinthshed.internal.http.message import Request, header
 from jacinthshed.internal.standin.backend_state import ShedAnswer
 from jacinthshed.internal.standin.platform_state import Mode
@@ -274,3 +276,43 @@
 
 def verdict(response):
     return header(response.headers, b"jacinthshed-verdict")
+
+
+def test_a_caller_that_ignores_retry_after_is_held():
+    async def main():
+        options = {"orders": {"slots": 0}}
+        async with running_fleet(single_layout(2), single_bundle(), options) as fleet:
+            lookup = Request(b"GET", b"/orders/lookup", HOST)
+            reasons = Counter()
+            for _ in range(100):
+                response = await fleet.send("orders-0", lookup)
+                reasons[msgspec.json.decode(response.body)["reason"]] += 1
+            burst = RetryPolicy().burst
+            assert reasons["retry-limit"] >= 100 - burst - 2
+
+    run_virtual(main)
+
+
+def test_a_target_whose_backend_server_is_down_draws_no_work():
+    rounds, at_once = 20, 12
+
+    async def main():
+        options = {"orders": {"service_ms": 20.0}}
+        async with running_fleet(single_layout(3), single_bundle(), options) as fleet:
+            fleet["orders-2"].crash_backend()
+            caller = fleet.caller("orders-0")
+            results = []
+
+            async def lookup():
+                results.append(await caller.request("GET", "/orders/lookup"))
+
+            for _ in range(rounds):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(at_once):
+                        nursery.start_soon(lookup)
+                await trio.sleep(0.05)
+            assert [r for r in results if isinstance(r, Failure)] == []
+            arrivals = fleet["orders-2"].decided("admission")
+            assert 0 < len(arrivals) <= at_once
+
+    run_virtual(main)
