Prove fences: state machine, crossing revocations, one target's memo

A replacement fence that was minted in the millisecond of the key's first use counted as a first fence, so a target that had restarted after a revocation ran it: the key started twice (test_replacement_minted_after_a_revocation_dies_at_a_ restarted_target). Such a fence now always looks older than itself.

A target now keeps ended runs for the key's lifetime and that of a fence, and an entry node asks for records from before the request arrived there, so that a resend which waited at its entry node is not proven not run by records that lapsed meanwhile.

--- a/src/jacinthshed/internal/fence/fence.py
+++ b/src/jacinthshed/internal/fence/fence.py
@@ -60,7 +60,9 @@
     """
     known_ms = [wall_ms]
     if born_ms is not None:
-        known_ms.append(born_ms)
+        # A replacement has to look older than itself even if it was minted within the
+        # same millisecond: see ``checks.predates``.
+        known_ms.append(min(born_ms, wall_ms - 1))
     if ballot:
         known_ms.append(ballot_wall_ms(ballot))
     return Fence(
--- a/src/jacinthshed/internal/fence/memo.py
+++ b/src/jacinthshed/internal/fence/memo.py
@@ -69,7 +69,7 @@
         is vouched for from there on.
         """
         if policy.key_lifetime_ms > self._policy.key_lifetime_ms:
-            kept_since_ms = at.now_ms - self._policy.key_lifetime_ms
+            kept_since_ms = at.now_ms - self._kept_ms()
             self._complete_since_ms = max(self._complete_since_ms, kept_since_ms)
         self._policy = policy
 
@@ -163,7 +163,8 @@
         revoker that hasn't heard of that target doesn't take silence for proof.
         """
         self._expire(at)
-        vouched_ms = min(at.now_ms - self._complete_since_ms, list_age_ms)
+        complete_ms = min(at.now_ms - self._complete_since_ms, self._kept_ms())
+        vouched_ms = min(complete_ms, list_age_ms)
         outcome, fence = self._revoke(at, revoke.key, revoke.ballot)
         return Revoked(revoke.request_id, outcome, fence, int(vouched_ms))
 
@@ -263,9 +264,12 @@
         return "tombstone", ""
 
     def _promise(self, at: Instant, key: str, ballot: str) -> bool:
-        policy = self._policy
-        kept_ms = policy.key_lifetime_ms + policy.lifetime_ms + policy.skew_ms
-        return self._promises.give(key, ballot, keep_until_ms=at.now_ms + kept_ms)
+        keep_until_ms = at.now_ms + self._kept_ms() + self._policy.skew_ms
+        return self._promises.give(key, ballot, keep_until_ms=keep_until_ms)
+
+    def _kept_ms(self) -> int:
+        # A resend may wait at its entry node for up to the lifetime of a fence.
+        return self._policy.key_lifetime_ms + self._policy.lifetime_ms
 
     def _bury(self, at: Instant, key: str, fence: Fence, refusal: Refusal) -> Refusal:
         final = refusal._replace(verdict=Verdict.NOT_RUN)
@@ -279,7 +283,7 @@
         if record is None or record.state is not RunState.DISPATCHED:
             raise ValueError(f"key {key!r} is not dispatched; call dispatched first")
         left_ms = record.fence.expires_ms - at.wall_ms
-        kept_ms = max(left_ms, self._policy.key_lifetime_ms) + self._policy.skew_ms
+        kept_ms = max(left_ms, self._kept_ms()) + self._policy.skew_ms
         self._runs.end(record, state, keep_until_ms=at.now_ms + kept_ms)
         return record
 
--- a/src/jacinthshed/internal/fence/revocation.py
+++ b/src/jacinthshed/internal/fence/revocation.py
@@ -87,8 +87,14 @@
         """Return what to send; sending again does no harm."""
         return [(host, self._frame) for host in self._asked if host in self._waiting]
 
-    def on_revoked(self, host: str, revoked: Revoked) -> None:
-        """Take a target's answer; one that isn't waited for changes nothing."""
+    def on_revoked(
+        self, host: str, revoked: Revoked, *, waited_ms: float = 0.0
+    ) -> None:
+        """Take a target's answer; one that isn't waited for changes nothing.
+
+        ``waited_ms`` is how long ago the request arrived here. Its caller kept to the
+        lifetime of the key when it sent it, so records are needed from before that.
+        """
         if revoked.request_id != self._frame.request_id or host not in self._waiting:
             return
         self._waiting.discard(host)
@@ -96,7 +102,7 @@
             self._found = self._found or Found(host, revoked.fence)
         elif revoked.outcome == "superseded":
             self._superseding = max(self._superseding or "", revoked.fence)
-        elif revoked.uptime_ms < self._key_lifetime_ms:
+        elif revoked.uptime_ms < self._key_lifetime_ms + waited_ms:
             self._young.append(host)
 
     def on_unreachable(self, host: str) -> None:
--- /dev/null
+++ b/tests/cover/test_fence_revocation.py
@@ -0,0 +1,238 @@
+"""Keys that are sent without their fence, over several targets and entry nodes."""
+
+import itertools
+
+import pytest
+from hypothesis import given, strategies as st
+
+from jacinthshed.internal.fence.ballot import Ballots
+from jacinthshed.internal.fence.fence import decode_fence, encode_fence
+from jacinthshed.internal.fence.path import (
+    FreshKey,
+    NewKey,
+    OwnFence,
+    Refused,
+    RevokeFirst,
+    Unfenced,
+    choose_path,
+)
+from jacinthshed.internal.verdict import Verdict
+
+from ..common.fence_fleet import Fleet
+from ..common.fences import EPOCH_MS, KEPT_MS, make_fence
+
+ORDER = st.lists(st.integers(0, 11), min_size=40, max_size=40)
+
+
+def _fleet(hosts="abc", entries="xy"):
+    return Fleet(hosts=list(hosts), entries=list(entries))
+
+
+def _verdicts(fleet, key="key"):
+    results = [resend.call.result for resend in fleet.keys[key].resends]
+    return [result[0] if result else None for result in results]
+
+
+def _run_all(fleet):
+    fleet.deliver_all()
+    while hosts := fleet.hosts_with("queue"):
+        for host in hosts:
+            fleet.work(host, "dispatch")
+        fleet.deliver_all()
+    fleet.check()
+
+
+def _finish_all(fleet):
+    for host in fleet.hosts_with("running"):
+        fleet.work(host, "finish")
+    fleet.deliver_all()
+    fleet.check()
+
+
+@given(order=ORDER, picks=ORDER, hosts=st.sampled_from(["ab", "abc"]))
+def test_key_sent_bare_through_two_entry_nodes_at_once_starts_once(order, picks, hosts):
+    fleet = _fleet(hosts)
+    fleet.call("key", "x", "bare")
+    fleet.call("key", "y", "bare")
+    for index, pick in zip(order, picks, strict=True):
+        if fleet.sent:
+            sent = fleet.nth(fleet.sent, index)
+            fleet.sent.remove(sent)
+            fleet.deliver(sent, pick)
+    _run_all(fleet)
+    _finish_all(fleet)
+    assert fleet.count("key") <= 1
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(4))))
+@pytest.mark.parametrize("picks", list(itertools.product(range(2), repeat=2)))
+@pytest.mark.parametrize("newest", [False, True])
+def test_revocations_that_cross_let_only_one_fence_run(order, picks, newest):
+    fleet = _fleet("ab")
+    fleet.call("key", "x", "bare")
+    fleet.call("key", "y", "bare")
+    revokes, fleet.sent = fleet.sent, []
+    for index in order:
+        fleet.deliver(revokes[index])
+    answers, fleet.sent = fleet.sent, []
+    for sent in answers:
+        fleet.deliver(sent, picks[sent.receiver == "y"])
+    fleet.deliver_all(picks[1], newest=newest)
+    _run_all(fleet)
+    _finish_all(fleet)
+    assert fleet.count("key") <= 1
+
+
+def test_bare_resend_finds_the_run_and_gets_its_answer():
+    fleet = _fleet()
+    fleet.call("key", "x", "new", 1)
+    _run_all(fleet)
+    fleet.call("key", "y", "bare")
+    fleet.deliver_all()
+    _finish_all(fleet)
+    assert _verdicts(fleet) == [Verdict.RAN, Verdict.RAN]
+
+
+def test_first_bare_request_runs_once_it_is_proven_new():
+    fleet = _fleet()
+    fleet.call("key", "x", "bare")
+    _run_all(fleet)
+    _finish_all(fleet)
+    assert _verdicts(fleet) == [Verdict.RAN]
+
+
+@pytest.mark.parametrize("loss", ["restart", "leave", "cut"])
+def test_run_whose_record_is_lost_is_never_called_not_run(loss):
+    fleet = _fleet()
+    fleet.call("key", "x", "new", 1)
+    _run_all(fleet)
+    fleet.work("b", "finish")
+    fleet.sent.clear()
+    if loss == "restart":
+        fleet.restart("b")
+    elif loss == "leave":
+        fleet.leave("b")
+    fleet.hear("y")
+    fleet.call("key", "y", "bare")
+    if loss == "cut":
+        fleet.sent = [sent for sent in fleet.sent if sent.receiver != "b"]
+        call = fleet.keys["key"].resends[1].call
+        call.revocation.on_unreachable("b")
+    _run_all(fleet)
+    assert _verdicts(fleet) == [None, Verdict.MAY_HAVE_RUN]
+
+
+def test_departure_spoils_the_proof_before_the_other_targets_hear_of_it():
+    fleet = _fleet("ab")
+    fleet.call("key", "x", "new", 1)
+    _run_all(fleet)
+    fleet.leave("b")
+    fleet.targets["a"].list_changed_ms = 0
+    fleet.hear("y")
+    fleet.call("key", "y", "bare")
+    _run_all(fleet)
+    assert _verdicts(fleet) == [None, Verdict.MAY_HAVE_RUN]
+
+
+def test_process_that_wakes_after_its_departure_is_forgotten_starts_nothing():
+    fleet = _fleet()
+    fleet.call("key", "x", "own", 1)
+    fleet.deliver_all()
+    fleet.leave("b")
+    fleet.now_ms += 2 * KEPT_MS
+    fleet.hear("y")
+    fleet.entries["y"].departed.clear()
+    fleet.call("key", "y", "bare")
+    _run_all(fleet)
+    assert [start.host for start in fleet.starts] == ["a"]
+
+
+def test_new_target_that_the_entry_node_has_not_heard_of_spoils_the_proof():
+    fleet = _fleet("a")
+    fleet.join("d")
+    fleet.hear("x")
+    fleet.call("key", "x", "new", 1)
+    _run_all(fleet)
+    assert fleet.starts[0].host == "d"
+    fleet.call("key", "y", "bare")
+    _run_all(fleet)
+    assert _verdicts(fleet) == [None, Verdict.MAY_HAVE_RUN]
+
+
+def test_replacement_minted_after_a_revocation_dies_at_a_restarted_target():
+    fleet = _fleet("ab")
+    fleet.call("key", "x", "own", 0)
+    fleet.deliver_all()
+    fleet.work("a", "shed")
+    fleet.deliver_all()
+    fleet.call("key", "y", "bare", 0)
+    _run_all(fleet)
+    fleet.restart("b")
+    fleet.hear("x")
+    fleet.call("key", "x", "own", 1)
+    _run_all(fleet)
+    _finish_all(fleet)
+    assert fleet.count("key") == 1
+
+
+def test_caller_that_knows_its_fence_is_not_overtaken_by_a_replacement():
+    fleet = _fleet("ab")
+    fleet.call("key", "x", "new", 0, announced=True)
+    fleet.deliver_all()
+    fleet.call("key", "y", "own")
+    fleet.work("a", "shed")
+    _run_all(fleet)
+    _finish_all(fleet)
+    assert _verdicts(fleet) == [Verdict.NOT_RUN, Verdict.NOT_RUN]
+
+
+def test_revocation_waits_for_each_target_and_takes_no_answer_twice():
+    fleet = _fleet()
+    fleet.call("key", "x", "bare")
+    first = fleet.sent.pop(0)
+    for _ in range(3):
+        fleet.deliver(first)
+    for sent in list(fleet.sent)[-3:]:
+        fleet.deliver(sent)
+    assert fleet.keys["key"].resends[0].call.fence is None
+
+
+@given(st.binary(max_size=40), st.integers(0, 200))
+def test_damaged_fence_is_refused(noise, cut):
+    token = encode_fence(make_fence(0))
+    assert decode_fence(token).unwrap() == decode_fence(token).unwrap()
+    damaged = token[: cut % len(token)] + noise.hex()
+    if damaged != token:
+        assert decode_fence(damaged).failure().detail
+
+
+def test_ballots_of_one_node_rise_and_top_what_they_were_refused_for():
+    ballots = Ballots(host="x", incarnation=1)
+    low = ballots.make(EPOCH_MS)
+    assert ballots.make(EPOCH_MS) > low
+    ahead = Ballots(host="y", incarnation=9).make(EPOCH_MS + 500)
+    assert ballots.make(EPOCH_MS, above=ahead) > ahead
+
+
+@pytest.mark.parametrize(
+    ("headers", "path"),
+    [
+        ({"key": "k", "fence": "new"}, FreshKey),
+        ({"key": "k", "fence": ""}, RevokeFirst),
+        ({"key": "k", "fence": "noise"}, Refused),
+        ({"key": "", "fence": ""}, Refused),
+        ({"key": "two words", "fence": "new"}, Refused),
+        ({"key": "k" * 256, "fence": "new"}, Refused),
+        ({"key": "k", "fence": encode_fence(make_fence(0))}, OwnFence),
+    ],
+)
+def test_path_follows_from_what_the_caller_sent(headers, path):
+    chosen = choose_path(idempotent=False, require_key=True, **headers)
+    assert isinstance(chosen, path)
+    idempotent = choose_path(idempotent=True, require_key=True, **headers)
+    assert idempotent == Unfenced()
+
+
+def test_key_is_made_where_the_bundle_asks_for_none():
+    path = choose_path(idempotent=False, require_key=False, key="", fence="")
+    assert path == NewKey()
