--- a/benchmarks/bench_gossip.py
+++ b/benchmarks/bench_gossip.py
@@ -9,23 +9,28 @@
 import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
+from time import process_time
 from typing import NamedTuple
 
 from jacinthshed.internal.bundle.model import MembershipPolicy
 from jacinthshed.internal.bundle.order import BundleOrder
+from jacinthshed.internal.bundle.signing import generate_key
+from jacinthshed.internal.bundle.store import OfferOutcome
 from jacinthshed.internal.membership.link_health import LinkHealth
 from jacinthshed.internal.membership.view import View
 from jacinthshed.internal.wire.codec import decode, encode
 from jacinthshed.internal.wire.frames import Gossip, Heartbeat
 
 from .gossip_fleet import LENGTH_BYTES, PACKET_BYTES, TICK_MS, Fleet, fleet_record
+from .target_bundle import new_store, signed_bundle
 
 SIZES = (10, 50, 100, 300, 1_000)
 QUIET_MS = 20_000.0
 LIMIT_MS = 60_000.0
 BUNDLE_DIGEST = b"d" * 32
 IDLE_LINKS = (10, 40, 100)
-IDLE_MS = 60_000
+IDLE_MS = 600_000
+BUNDLES = 10
 
 
 class Row(NamedTuple):
@@ -142,6 +147,7 @@
     order = BundleOrder(2, BUNDLE_DIGEST)
     first = fleet.members[sorted(fleet.members)[0]]
     first.order = order
+    first.document = signed_bundle(2, generate_key())
     return fleet.run_until(lambda m: m.order == order, LIMIT_MS)
 
 
@@ -204,6 +210,21 @@
     return Row("idle links", links, 0.0, frames * size / (IDLE_MS / 1_000), "B/s")
 
 
+def measure_bundle() -> list[Row]:
+    """Return the size of a bundle, and the time to check it and put it in force."""
+    key = generate_key()
+    documents = [signed_bundle(version, key) for version in range(1, 1 + BUNDLES)]
+    store = new_store(key)
+    started_s = process_time()
+    for document in documents:
+        assert store.offer(document, "benchmark").outcome is OfferOutcome.ACCEPTED
+    spent_us = (process_time() - started_s) / BUNDLES * 1e6
+    return [
+        Row("bundle document", 0, 0.0, float(len(documents[0])), "B"),
+        Row("bundle check", 0, 0.0, spent_us, "us"),
+    ]
+
+
 def main() -> None:
     """Write all figures as CSV and to standard error as they come."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -211,6 +232,7 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
     arguments = parser.parse_args()
     rows = [measure_idle_links(links) for links in IDLE_LINKS]
+    rows += measure_bundle()
     for size in arguments.sizes:
         rows += measure_memory(size)
         rows += measure_quiet(size)
--- a/benchmarks/gossip_fleet.py
+++ b/benchmarks/gossip_fleet.py
@@ -6,18 +6,24 @@
 """
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from time import process_time
 
 from jacinthshed.internal.bundle.model import MembershipPolicy
 from jacinthshed.internal.bundle.order import NO_BUNDLE, BundleOrder
-from jacinthshed.internal.membership.gossip import Gossiper, Outbox
+from jacinthshed.internal.membership.gossip import Gossiper
 from jacinthshed.internal.membership.host_list import ListedHost
 from jacinthshed.internal.membership.overlay import choose_neighbours
 from jacinthshed.internal.membership.view import View
 from jacinthshed.internal.wire.codec import decode, encode
-from jacinthshed.internal.wire.frames import Gossip, MemberRecord
+from jacinthshed.internal.wire.frames import (
+    BundleAsk,
+    BundleData,
+    Frame,
+    Gossip,
+    MemberRecord,
+)
 
 TICK_MS = 100.0
 SERVICES = 37
@@ -27,6 +33,8 @@
 # Headers of TCP and IP for a frame that goes out alone, and for its acknowledgement.
 PACKET_BYTES = 104
 CONTACTS = 8
+# As in the node: how often at most it asks for a bundle above its own.
+BUNDLE_ASK_INTERVAL_MS = 300.0
 
 
 def fleet_record(number: int, incarnation: int = 1_790_000_000_000) -> MemberRecord:
@@ -44,11 +52,13 @@
 
 
 class Member:
-    """One node: its view, its gossiper and the bundle that it knows."""
+    """One node: its view, its gossiper and the bundle that it has."""
 
     def __init__(self, record: MemberRecord, linked: Callable[[], list[str]]) -> None:
         self.view = View(self_record=record)
         self.order = NO_BUNDLE
+        self.document = b""
+        self.asked_ms = float("-inf")
         self.gossiper = Gossiper(
             view=self.view,
             policy=MembershipPolicy(),
@@ -99,7 +109,7 @@
         )
         return member
 
-    def post(self, sender: str, outbox: Outbox) -> None:
+    def post(self, sender: str, outbox: Sequence[tuple[str, Frame]]) -> None:
         """Encode frames, count them, and put them under way."""
         payloads: dict[int, bytes] = {}
         for target, frame in outbox:
@@ -152,10 +162,23 @@
     def _arrive(self, sender: str, target: str, payload: bytes) -> None:
         member = self.members[target]
         frame = decode(payload[LENGTH_BYTES:])
-        assert isinstance(frame, Gossip)
-        order = BundleOrder(frame.bundle_version, frame.bundle_digest)
-        member.order = max(member.order, order)
-        self.post(target, member.gossiper.receive(self.now_ms, sender, frame))
+        if isinstance(frame, Gossip):
+            self._ask_for_bundle(sender, target, frame)
+            self.post(target, member.gossiper.receive(self.now_ms, sender, frame))
+        elif isinstance(frame, BundleAsk):
+            self.post(target, [(sender, BundleData(member.document))])
+        elif isinstance(frame, BundleData):
+            other = self.members[sender]
+            member.order = max(member.order, other.order)
+            member.document = frame.document
+
+    def _ask_for_bundle(self, sender: str, target: str, gossip: Gossip) -> None:
+        member = self.members[target]
+        order = BundleOrder(gossip.bundle_version, gossip.bundle_digest)
+        is_due = self.now_ms - member.asked_ms >= BUNDLE_ASK_INTERVAL_MS
+        if order > member.order and is_due:
+            member.asked_ms = self.now_ms
+            self.post(target, [(sender, BundleAsk(*member.order))])
 
     def _delay_ms(self, sender: str, target: str) -> float:
         zones = [
--- /dev/null
+++ b/benchmarks/target_bundle.py
@@ -0,0 +1,71 @@
+"""A bundle of the size that the system has to carry."""
+
+from typing import NamedTuple
+
+import msgspec
+import yaml
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from jacinthshed.internal.bundle.model import Bundle, Route, Service
+from jacinthshed.internal.bundle.signing import Envelope, envelope_bytes, sign
+from jacinthshed.internal.bundle.store import BundleStore
+from jacinthshed.internal.settings.keys import public_key_text
+
+SERVICES = 37
+ROUTES_PER_SERVICE = 4
+DEPTH = 23
+OPERATOR = "operator"
+RANKS = 10
+
+
+class OneOperator(NamedTuple):
+    """Trusts one operator's key."""
+
+    keys: dict[str, str]
+    threshold: int = 1
+
+
+def target_bundle(version: int) -> Bundle:
+    """Return a bundle with all services, and call paths of the full depth."""
+    zones = tuple(f"region-{r}-zone-{z}" for r in "ab" for z in range(4))
+    services = {
+        f"service-{number:02d}": Service(slots=50, connections=400)
+        for number in range(SERVICES)
+    }
+    routes = {}
+    for number in range(SERVICES):
+        for kind in range(ROUTES_PER_SERVICE):
+            deeper = number + 1 < DEPTH
+            routes[f"route-{number:02d}-{kind}"] = Route(
+                service=f"service-{number:02d}",
+                path=f"/kind-{kind}",
+                rank=1 + kind,
+                idempotent=True,
+                deadline_ms=5_000 - 100 * min(number, DEPTH),
+                calls=(f"route-{number + 1:02d}-{kind}",) if deeper else (),
+            )
+    return Bundle(
+        deployment="target",
+        version=version,
+        availability_zones=zones,
+        services=services,
+        routes=routes,
+    )
+
+
+def signed_bundle(version: int, key: Ed25519PrivateKey) -> bytes:
+    """Return the signed document of a bundle, as operators write it."""
+    bundle = msgspec.to_builtins(target_bundle(version))
+    defaults = {"methods", "queue", "path_prefix"}
+    for section in (*bundle["services"].values(), *bundle["routes"].values()):
+        for name in defaults & section.keys():
+            del section[name]
+    text = yaml.safe_dump(bundle, sort_keys=False)
+    return envelope_bytes(sign(Envelope(document=text, signatures=()), OPERATOR, key))
+
+
+def new_store(key: Ed25519PrivateKey) -> BundleStore:
+    """Return a store that trusts ``key``."""
+    return BundleStore(
+        trusted=OneOperator({OPERATOR: public_key_text(key.public_key())})
+    )
