Contact listed hosts that are thought gone; report last members and hints

Fault 1, found by the state machine: host-0 had taken 1 to 4 for gone and host-1 had taken 0 for gone (both on evidence that was false); after heal and 40 s of quiet ('host-0', 'host-1', 'live') still failed. Cause: no side had the other as a peer, and hosts with a "gone" record were no contacts even when the list showed them. Ruled out: the order of records (either side would have taken the other's newer one). Now a listed host is asked unless it is a member. Fault 2, found on reading: a service vanished from services() with its last member, so those who refill their targets from it kept the host that had left. Seen to fail with the old code: 'ledger' in ('other',). Fault 3, found on reading: a hint of the list changed members() but not the version that followers compare. Seen to fail: 5 > 5. Probes of unreachable hosts are at most 5 s apart instead of 30 s, so that a healed partition is noticed soon; without the bound the test saw 32000.0. New: set_policy of Gossiper, FailureTracker, PauseDetector, Picker; changed_ago_ms.

--- a/src/jacinthshed/internal/membership/failure.py
+++ b/src/jacinthshed/internal/membership/failure.py
@@ -4,7 +4,8 @@
 from .record_order import GONE, LEAVING
 from .view import View
 
-MAX_PROBE_INTERVAL_MS = 30_000.0
+# A probe costs one attempt to connect. Rarer ones would make a healed partition last.
+MAX_PROBE_INTERVAL_MS = 5_000.0
 
 
 class _Outage:
@@ -31,6 +32,10 @@
         self._policy = policy
         self._outages: dict[str, _Outage] = {}
 
+    def set_policy(self, policy: MembershipPolicy) -> None:
+        """Go by the times of ``policy`` from now on."""
+        self._policy = policy
+
     def failed(self, now_ms: float, host: str) -> None:
         """Note that a link to ``host`` broke or could not be opened."""
         outage = self._outages.setdefault(host, _Outage(now_ms))
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -75,6 +75,11 @@
         self.is_joined = False
         self._rumors.add([view.self_record])
 
+    def set_policy(self, policy: MembershipPolicy) -> None:
+        """Go by the times of ``policy`` from now on."""
+        self._policy = policy
+        self._reconciliation.quiet_ms = policy.gossip_interval_ms
+
     def tick(self, now_ms: float) -> Outbox:
         """Return what is due to be sent; call it about every ``FORWARD_GAP_MS``."""
         if now_ms >= self._next_expiry_ms:
--- a/src/jacinthshed/internal/membership/host_list.py
+++ b/src/jacinthshed/internal/membership/host_list.py
@@ -23,7 +23,7 @@
 class HostListNews(NamedTuple):
     """What follows from a new list.
 
-    ``contacts`` are listed hosts of which no record is known: gossip has to ask them.
+    ``contacts`` are listed hosts that are not known as members: gossip has to ask them.
     ``notices`` are to be sent to the named hosts themselves. The list lags and knows
     no incarnations, so only the node beside a host can tell whether it is meant.
     ``own_leaving`` says that the list shows this node's own host as leaving.
--- a/src/jacinthshed/internal/membership/pause.py
+++ b/src/jacinthshed/internal/membership/pause.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from ..bundle.model import MembershipPolicy
+
 
 class Pause(NamedTuple):
     """A span in which the process did not run, in milliseconds."""
@@ -22,6 +24,10 @@
         self._wall_ms = 0
         self.is_confirmed = True
 
+    def set_policy(self, policy: MembershipPolicy) -> None:
+        """Go by the times of ``policy`` from now on."""
+        self._pause_after_ms = policy.pause_after_ms
+
     def tick(self, mono_ms: float, wall_ms: int) -> Pause | None:
         """Note that the process runs; return the pause that ended just now, if any.
 
--- a/src/jacinthshed/internal/membership/reconciliation.py
+++ b/src/jacinthshed/internal/membership/reconciliation.py
@@ -24,7 +24,7 @@
     """
 
     def __init__(self, *, quiet_ms: float) -> None:
-        self._quiet_ms = quiet_ms
+        self.quiet_ms = quiet_ms
         self._differing_since_ms: float | None = None
         self._tries = 0
         self._answered_ms = float("-inf")
@@ -45,11 +45,11 @@
         """
         if self._differing_since_ms is None:
             self._differing_since_ms = now_ms
-        is_settled = now_ms - view.changed_ms >= self._quiet_ms
-        is_overdue = now_ms - self._differing_since_ms >= 4 * self._quiet_ms
+        is_settled = now_ms - view.changed_ms >= self.quiet_ms
+        is_overdue = now_ms - self._differing_since_ms >= 4 * self.quiet_ms
         if not (is_settled or is_overdue):
             return False
-        if now_ms - self._answered_ms < self._quiet_ms / 2:
+        if now_ms - self._answered_ms < self.quiet_ms / 2:
             return False
         self._answered_ms = now_ms
         self._tries += 1
@@ -80,7 +80,7 @@
 
     def gives_all(self, now_ms: float) -> bool:
         """Return whether a whole view may be sent now."""
-        if now_ms - self._gave_all_ms < self._quiet_ms:
+        if now_ms - self._gave_all_ms < self.quiet_ms:
             return False
         self._gave_all_ms = now_ms
         return True
--- a/src/jacinthshed/internal/membership/service_index.py
+++ b/src/jacinthshed/internal/membership/service_index.py
@@ -25,21 +25,27 @@
 
     def remove(self, record: MemberRecord) -> None:
         """Take ``record`` out of its service."""
-        hosts = self._live.get(record.service, {})
-        hosts.pop(record.host, None)
-        if not hosts:
-            self._live.pop(record.service, None)
+        self._live.get(record.service, {}).pop(record.host, None)
         self._drop_prepared(record.service)
 
-    def avoid(self, hosts: set[str]) -> None:
-        """Replace the hosts that are left out while enough others are there."""
-        if hosts != self._avoided:
-            self._avoided = hosts
-            self._members.clear()
-            self._zones.clear()
+    def avoid(self, hosts: set[str]) -> bool:
+        """Replace the hosts that are left out while enough others are there.
+
+        Return whether that changed anything.
+        """
+        if hosts == self._avoided:
+            return False
+        self._avoided = hosts
+        self._members.clear()
+        self._zones.clear()
+        return True
 
     def services(self) -> tuple[str, ...]:
-        """Return the names of services that have members."""
+        """Return the names of services that have or had members.
+
+        A service stays when its last member leaves, so that those who follow the
+        members of each service hear that there are none.
+        """
         return tuple(self._live)
 
     def members(self, service: str) -> tuple[MemberRecord, ...]:
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -27,6 +27,7 @@
         # Ordered from the least to the most recently changed record.
         self._records: dict[str, MemberRecord] = {}
         self._changed_ms: dict[str, float] = {}
+        self._service_changed_ms: dict[str, float] = {}
         self._gone_at_ms: dict[str, float] = {}
         self._host_list = HostList()
         self._index = ServiceIndex()
@@ -80,9 +81,13 @@
         return self._index.by_zone(service)
 
     def services(self) -> tuple[str, ...]:
-        """Return the names of services that have members."""
+        """Return the names of services that have or had members."""
         return self._index.services()
 
+    def changed_ago_ms(self, service: str, now_ms: float) -> float:
+        """Return how long ago a target of ``service`` last came, changed or went."""
+        return now_ms - self._service_changed_ms.get(service, -inf)
+
     def departed(
         self, service: str, within_ms: float, now_ms: float
     ) -> tuple[MemberRecord, ...]:
@@ -117,8 +122,13 @@
         return records
 
     def contacts(self) -> tuple[ListedHost, ...]:
-        """Return listed hosts of which no record is known."""
-        return self._host_list.unknown(self._records)
+        """Return listed hosts of which no record is known, or only that they are gone.
+
+        Two sides of a partition that both took the other for gone would never speak
+        again, if neither went by a list that shows the other.
+        """
+        known = (host for host, r in self._records.items() if r.state != GONE)
+        return self._host_list.unknown(known)
 
     def merge(
         self, now_ms: float, records: Iterable[MemberRecord]
@@ -251,6 +261,7 @@
             self._take_out(now_ms, old, record)
         self._records[record.host] = record
         self._changed_ms[record.host] = now_ms
+        self._service_changed_ms[record.service] = now_ms
         if record.state != GONE:
             self._digest ^= record_hash(record)
         if record.state == LIVE:
@@ -275,4 +286,5 @@
 
     def _follow_hints(self) -> None:
         hints = self._host_list.hints(self._records.get)
-        self._index.avoid({hint.host for hint in hints})
+        if self._index.avoid({hint.host for hint in hints}):
+            self.version += 1
--- a/src/jacinthshed/internal/routing/picker.py
+++ b/src/jacinthshed/internal/routing/picker.py
@@ -58,6 +58,12 @@
         self._targets: dict[str, Target] = {}
         self._pools: dict[str, _Pools] = {}
 
+    def set_policy(self, policy: RoutingPolicy) -> None:
+        """Go by the bounds of ``policy`` from now on."""
+        self._policy = policy
+        for pool in chain(*self._pools.values()):
+            pool.slow_start_ms = policy.slow_start_ms
+
     def set_members(
         self, now_ms: float, service: str, members: Iterable[MemberRecord]
     ) -> None:
--- a/src/jacinthshed/internal/routing/pool.py
+++ b/src/jacinthshed/internal/routing/pool.py
@@ -22,7 +22,7 @@
 
     def __init__(self, *, targets: list[Target], slow_start_ms: float) -> None:
         self.targets = targets
-        self._slow_start_ms = slow_start_ms
+        self.slow_start_ms = slow_start_ms
         self._oldest_ms = min((t.first_ms for t in targets), default=0.0)
 
     def draw(self, now_ms: float, exclude: Set[str], random: Random) -> Draw | None:
@@ -72,9 +72,9 @@
         targets is not slowed down.
         """
         age_ms = now_ms - target.first_ms
-        if age_ms >= self._slow_start_ms:
+        if age_ms >= self.slow_start_ms:
             return 1.0
-        oldest_age_ms = min(now_ms - self._oldest_ms, self._slow_start_ms)
+        oldest_age_ms = min(now_ms - self._oldest_ms, self.slow_start_ms)
         if oldest_age_ms <= 0:
             return 1.0
         return max(MIN_SHARE, age_ms / oldest_age_ms)
--- a/src/jacinthshed/internal/routing/target.py
+++ b/src/jacinthshed/internal/routing/target.py
@@ -8,7 +8,7 @@
 # Lets requests in flight decide between targets that report no load.
 LOAD_FLOOR = 0.25
 MIN_BACKOFF_MS = 100.0
-MAX_BACKOFF_MS = 30_000.0
+MAX_BACKOFF_MS = 5_000.0
 
 
 class Target:
--- a/tests/cover/test_membership_failure.py
+++ b/tests/cover/test_membership_failure.py
@@ -1,9 +1,14 @@
 """Silent links, pauses, and what is declared about hosts that can't be reached."""
 
+from itertools import pairwise
+
 from hypothesis import given, strategies as st
 
 from jacinthshed.internal.bundle.model import MembershipPolicy
-from jacinthshed.internal.membership.failure import FailureTracker
+from jacinthshed.internal.membership.failure import (
+    MAX_PROBE_INTERVAL_MS,
+    FailureTracker,
+)
 from jacinthshed.internal.membership.link_health import IDLE_FACTOR, LinkHealth
 from jacinthshed.internal.membership.pause import PauseDetector
 from jacinthshed.internal.membership.view import View
@@ -116,14 +121,17 @@
     assert cut_off(view, ["host-a"]) == ["host-a"]
 
 
-def test_probes_back_off_and_stop_at_the_first_frame():
+def test_probes_back_off_to_a_bound_and_end_at_the_first_frame():
     tracker = FailureTracker(policy=POLICY)
-    now_ms, probes = 0.0, 0
-    while now_ms < 600_000:
+    probes_ms = []
+    for step in range(1_000):
+        now_ms = step * STEP_MS
         if tracker.may_probe(now_ms, "host-a"):
-            probes += 1
+            probes_ms.append(now_ms)
             tracker.failed(now_ms, "host-a")
-        now_ms += STEP_MS
-    assert 20 <= probes <= 30
+    gaps_ms = [later - earlier for earlier, later in pairwise(probes_ms)]
+    assert gaps_ms == sorted(gaps_ms)
+    assert gaps_ms[0] == POLICY.heartbeat_ms
+    assert gaps_ms[-1] == MAX_PROBE_INTERVAL_MS
     tracker.reached("host-a")
     assert tracker.is_reachable("host-a")
--- a/tests/cover/test_membership_view.py
+++ b/tests/cover/test_membership_view.py
@@ -130,3 +130,24 @@
     view.expire(GONE_LIFETIME_MS)
     assert view.get("host-a") is None
     assert view.departed(SERVICE, 2 * GONE_LIFETIME_MS, GONE_LIFETIME_MS) == ()
+
+
+def test_those_who_follow_a_service_hear_that_its_last_member_left():
+    view = view_of([member("host-a")])
+    assert SERVICE in view.services()
+    view.heard_leaving(5.0, Leaving("host-a", 1))
+    assert SERVICE in view.services()
+    assert view.members(SERVICE) == ()
+    assert view.changed_ago_ms(SERVICE, 7.0) == 2.0
+
+
+def test_a_hint_counts_as_a_change_once():
+    fleet = fleet_records(4)
+    view = view_of(fleet)
+    hint = [listed(record, leaving=record.host == "host-1") for record in fleet]
+    before = view.version
+    view.apply_host_list(0.0, hint)
+    assert view.version > before
+    before = view.version
+    view.apply_host_list(1.0, hint)
+    assert view.version == before
