A leaving node ends the higher incarnation of its own past

Cause: its "leaving" of the lower incarnation was no news, and only live nodes answered with a higher one. Now a node that leaves marks the higher incarnation as leaving too, if it has the same address, which no other process can hold meanwhile. Seen to fail: without the rule host-self stays routable; with it for any address the next process on the host was marked as leaving.

--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -6,6 +6,7 @@
 from ..wire.frames import Leaving, MemberRecord
 from .departures import Departures
 from .host_list import HostList, HostListNews, ListedHost
+from .own_record import OwnRecord
 from .record_order import GONE, LEAVING, LIVE, is_well_formed, order_key, record_hash
 from .service_index import ServiceIndex, Zones
 
@@ -22,8 +23,7 @@
     """
 
     def __init__(self, *, self_record: MemberRecord) -> None:
-        self._self = self_record
-        self._outranked_by: MemberRecord | None = None
+        self._own = OwnRecord(record=self_record)
         # Ordered from the least to the most recently changed record.
         self._records: dict[str, MemberRecord] = {}
         self._changed_ms: dict[str, float] = {}
@@ -42,7 +42,7 @@
     @property
     def self_record(self) -> MemberRecord:
         """The record of this node."""
-        return self._self
+        return self._own.record
 
     @property
     def digest(self) -> int:
@@ -61,7 +61,7 @@
         know a higher one. While this node still serves, its owner has to call
         ``renew`` with an incarnation above the one shown here.
         """
-        return self._outranked_by
+        return self._own.outranked_by
 
     def get(self, host: str) -> MemberRecord | None:
         """Return the record of ``host``, in whatever state."""
@@ -104,7 +104,7 @@
             self._hosts = tuple(
                 record.host
                 for record in self._records.values()
-                if record.state != GONE and record.host != self._self.host
+                if record.state != GONE and record.host != self._own.record.host
             )
         return self._hosts
 
@@ -143,8 +143,11 @@
                 continue
             self._put(now_ms, record)
             changed.append(record)
-            if record.host == self._self.host:
-                changed.extend(self._answer(now_ms, record))
+            if record.host == self._own.record.host:
+                answer = self._own.answer(record)
+                if answer is not None:
+                    self._put(now_ms, answer)
+                    changed.append(answer)
         return changed
 
     def heard_leaving(self, now_ms: float, notice: Leaving) -> list[MemberRecord]:
@@ -153,7 +156,7 @@
         A notice about this node is a hint from the platform's list; ``should_leave``
         tells whether to follow it.
         """
-        if notice.host == self._self.host:
+        if notice.host == self._own.record.host:
             return []
         known = self._records.get(notice.host)
         if known is None:
@@ -167,34 +170,26 @@
 
     def leave(self, now_ms: float) -> MemberRecord:
         """Mark this node as leaving and return its record."""
-        return self._announce(now_ms, LEAVING)
+        return self._end(now_ms, LEAVING)
 
     def exit(self, now_ms: float) -> MemberRecord:
         """Mark this node as gone, as the last thing it says."""
-        return self._announce(now_ms, GONE)
+        return self._end(now_ms, GONE)
 
     def renew(self, now_ms: float, incarnation: int) -> MemberRecord:
         """Go on under a higher incarnation and return the record to spread.
 
         Raises ``ValueError`` when ``incarnation`` is not above the one known.
         """
-        known = self._records[self._self.host]
-        if incarnation <= known.incarnation:
-            raise ValueError(
-                f"incarnation {incarnation} does not outrank {known.incarnation}; "
-                f"pass at least {known.incarnation + 1}"
-            )
-        self._self = self._self._replace(
-            incarnation=incarnation, state=LIVE, revision=0
-        )
-        self._outranked_by = None
-        self._put(now_ms, self._self)
-        return self._self
+        known = self._records[self._own.record.host]
+        record = self._own.renew(incarnation, known)
+        self._put(now_ms, record)
+        return record
 
     def declare_gone(self, now_ms: float, host: str) -> list[MemberRecord]:
         """Mark ``host`` as gone on evidence that the caller has judged."""
         known = self._records.get(host)
-        if known is None or host == self._self.host:
+        if known is None or host == self._own.record.host:
             return []
         return self.merge(now_ms, [known._replace(state=GONE)])
 
@@ -209,7 +204,7 @@
         """
         self._host_list.update(hosts, self._records.get)
         self._follow_hints()
-        own_host = self._self.host
+        own_host = self._own.record.host
         hints = self._host_list.hints(self._records.get)
         notices = tuple(hint for hint in hints if hint.host != own_host)
         own_leaving = self._host_list.shows_leaving(own_host)
@@ -226,7 +221,7 @@
             is_old = at_ms + GONE_LIFETIME_MS <= now_ms
             if not is_old and len(self._gone_at_ms) <= MAX_GONE:
                 return
-            if host != self._self.host:
+            if host != self._own.record.host:
                 del self._records[host], self._changed_ms[host]
             del self._gone_at_ms[host]
 
@@ -234,26 +229,11 @@
         known = self._records.get(record.host)
         return known is None or order_key(record) > order_key(known)
 
-    def _announce(self, now_ms: float, state: str) -> MemberRecord:
-        if self._self.state != state:
-            self._self = self._self._replace(
-                state=state, revision=self._self.revision + 1
-            )
-            if self._is_news(self._self):
-                self._put(now_ms, self._self)
-        return self._self
-
-    def _answer(self, now_ms: float, record: MemberRecord) -> list[MemberRecord]:
-        """Correct a record about this node, where the order allows it."""
-        if (record.incarnation, record.state) != (
-            self._self.incarnation,
-            self._self.state,
-        ):
-            self._outranked_by = record
-            return []
-        self._self = self._self._replace(revision=record.revision + 1)
-        self._put(now_ms, self._self)
-        return [self._self]
+    def _end(self, now_ms: float, state: str) -> MemberRecord:
+        record = self._own.end(state, self._records[self._own.record.host])
+        if self._is_news(record):
+            self._put(now_ms, record)
+        return record
 
     def _put(self, now_ms: float, record: MemberRecord) -> None:
         old = self._records.pop(record.host, None)
--- a/tests/cover/test_membership_view.py
+++ b/tests/cover/test_membership_view.py
@@ -94,6 +94,23 @@
     assert view.outranked_by is None
 
 
+@pytest.mark.parametrize("hears_first", [True, False])
+def test_a_leaving_node_ends_the_higher_incarnation_of_its_past(hears_first):
+    view = View(self_record=member("host-self", incarnation=1))
+    past = member("host-self", incarnation=5)
+    if hears_first:
+        view.merge(0.0, [past])
+        told = [view.leave(1.0)]
+    else:
+        view.leave(0.0)
+        told = view.merge(1.0, [past])
+    peer = view_of([past])
+    peer.merge(2.0, told)
+    assert not peer.is_routable("host-self")
+    elsewhere = past._replace(incarnation=6, peer_address="10.0.0.9:7400")
+    assert view.merge(3.0, [elsewhere]) == [elsewhere]
+
+
 @given(leaving=st.sets(st.integers(0, 5)), missing=st.sets(st.integers(0, 5)))
 def test_a_list_excludes_no_service_and_resurrects_nobody(leaving, missing):
     fleet = fleet_records(6)
