--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -91,7 +91,7 @@
         contexts=contexts,
         check=check,
         fold_level=_level_folder(policy, levels),
-        list_age_ms=lambda at: at.now_ms - view.targets_changed_ms(record.service),
+        list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         log=log,
     )
     membership = MembershipPolicy()
