Levels: fresh ones decide; a target refuses what lies beyond its own level table

Stale levels opened what fresh ones closed, and a probe ran its own work before the refusal. Now fresh levels decide alone, and the target side looks at its node's level table before it takes a slot.

--- a/benchmarks/measures/model.py
+++ b/benchmarks/measures/model.py
@@ -56,6 +56,11 @@
         """The route of this call: the services from here on."""
         return ">".join(self.root.path[self.depth :])
 
+    @property
+    def below(self) -> str:
+        """The route of the call that this one makes."""
+        return ">".join(self.root.path[self.depth + 1 :])
+
     @property
     def is_last(self) -> bool:
         return self.depth == len(self.root.path) - 1
--- a/benchmarks/measures/node.py
+++ b/benchmarks/measures/node.py
@@ -36,7 +36,7 @@
     def _attempt(self, hop: Hop) -> None:
         if not hop.open:
             return
-        if self._is_shed(hop):
+        if self.is_shed(hop, hop.name):
             self._end(hop, False, "level", 0)
             return
         hop.attempts += 1
@@ -54,12 +54,13 @@
                 UNREACHABLE_AFTER_MS, self._check_link, hop, attempt_id, target
             )
 
-    def _is_shed(self, hop: Hop) -> bool:
+    def is_shed(self, hop: Hop, name: str) -> bool:
+        """Whether all targets that ``name`` leads to would shed the hop's root."""
         if not self.world.stack.levels:
             return False
         wait_ms = self.levels.refuses(
             self.world.clock.now_ms,
-            (hop.name,),
+            (name,),
             hop.root.rank,
             self.world.hash_of(hop.root),
             self.world.random.random(),
--- a/benchmarks/measures/target.py
+++ b/benchmarks/measures/target.py
@@ -64,6 +64,9 @@
             hop.deadline_at_ms if stack.queue_deadlines else FAR_MS,
         )
         self.node.ledger.open(attempt.id, attempt.allowance)
+        if not hop.is_last and self.node.is_shed(hop, hop.below):
+            self._answer(self._jobs.pop(ticket), False, "level")
+            return
         self._take(self._gate.offer(self.world.clock.now_ms, work, hop.name))
 
     def _take(self, decisions) -> None:
@@ -136,8 +139,8 @@
         hop = job.attempt.hop
         level = self._gate.level(now_ms)
         if not hop.is_last:
-            below = ">".join(hop.root.path[hop.depth + 1 :])
-            level = stricter(level, self.node.levels.strictest(now_ms, (below,)))
+            below = self.node.levels.strictest(now_ms, (hop.below,))
+            level = stricter(level, below)
         reply = Reply(
             ok,
             str(reason),
--- a/src/jacinthshed/internal/admission/levels.py
+++ b/src/jacinthshed/internal/admission/levels.py
@@ -77,20 +77,26 @@
 
     def _all_shed(self, now_ms: float, name: str, rank: int, root_hash: int) -> bool:
         hosts = self._known(now_ms, name)
-        return bool(hosts) and all(
-            self._sheds(now_ms, noted, rank, root_hash) for noted in hosts.values()
-        )
-
-    def _sheds(
-        self, now_ms: float, noted: NotedLevel, rank: int, root_hash: int
-    ) -> bool:
-        if not noted.level.sheds(rank, root_hash):
+        if not hosts:
             return False
-        age_ms = now_ms - noted.noted_ms
+        newest_ms = max(noted.noted_ms for noted in hosts.values())
+        # One fresh level says more than the others' old ones: targets of a service
+        # share its load, and a stale level must not open what a fresh one closes.
+        judged = [
+            noted
+            for noted in hosts.values()
+            if noted.noted_ms >= min(newest_ms, now_ms - FRESH_MS)
+        ]
+        if not all(noted.level.sheds(rank, root_hash) for noted in judged):
+            return False
+        return not self._is_reopened(now_ms - newest_ms, rank, root_hash)
+
+    def _is_reopened(self, age_ms: float, rank: int, root_hash: int) -> bool:
+        """Whether the newest level is so old that this work goes past it."""
         if age_ms <= FRESH_MS:
-            return True
+            return False
         opened = (age_ms - FRESH_MS) / max(1.0, self._ttl_ms - FRESH_MS)
-        return rank > 1 and root_hash >= opened * ROOT_HASH_SPAN
+        return rank == 1 or root_hash < opened * ROOT_HASH_SPAN
 
     def _known(self, now_ms: float, name: str) -> dict[str, NotedLevel]:
         """Return the levels of ``name`` by host, without those that are too old."""
