Levels loosen by what the last window was short of

Cause of the remaining leak at 10x: a window with a few arrivals too few opened the level twofold, and the loosest of four targets counts.

--- a/src/jacinthshed/internal/admission/level_control.py
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -12,6 +12,7 @@
 MAX_ARRIVALS = 1_024
 GROWTH_FACTOR = 2.0
 GROWTH_SPAN = ROOT_HASH_SPAN // 4
+MIN_GROWTH_SPAN = ROOT_HASH_SPAN // 100
 RANK_TTL_MS = 30_000.0
 
 
@@ -66,20 +67,22 @@
             self._arrivals.sort()
             self.level = min(self.level, ShedLevel(*self._arrivals[wanted]))
         elif not self._shed:
-            self.level = self._looser(now_ms)
+            self.level = self._looser(now_ms, wanted - len(self._arrivals))
 
-    def _looser(self, now_ms: float) -> ShedLevel:
-        """Return the next step of re-admission.
+    def _looser(self, now_ms: float, missing: int) -> ShedLevel:
+        """Return the next step of re-admission, for ``missing`` more arrivals.
 
         A rank opens over several windows, so that the demand that was held back does
         not come at once. Ranks that nobody asks for are passed over.
         """
         rank, root_hash = self.level
-        opened = max(root_hash * GROWTH_FACTOR, root_hash + GROWTH_SPAN)
+        of_rank = sum(arrival[0] == rank for arrival in self._arrivals)
+        greatest = max(root_hash * GROWTH_FACTOR, root_hash + GROWTH_SPAN)
+        opened = root_hash * (1 + missing / of_rank) if of_rank else greatest
+        opened = min(greatest, max(opened, root_hash + MIN_GROWTH_SPAN))
         if opened < ROOT_HASH_SPAN:
             return ShedLevel(rank, int(opened))
         oldest_ms = now_ms - RANK_TTL_MS
-        higher = [
-            r for r, at in self._rank_seen_ms.items() if r > rank and at > oldest_ms
-        ]
+        seen = [r for r, at_ms in self._rank_seen_ms.items() if at_ms > oldest_ms]
+        higher = [r for r in seen if r > rank]
         return ShedLevel(min(higher), GROWTH_SPAN) if higher else NOTHING_SHED
