Adaptive limit: trials are judged against a baseline that stands still

Cause: with the deepest service 10 times slower the baseline crept up during a trial (1% of the excess per batch), so that every trial looked like a success: limit 35 -> 11 in 22 s on western-lk. Ruled out: noise of a window (3% at 70 samples). Tried and reverted: a rebase after each failed trial (one wrong verdict in 100 trials kept a limit at 20 where 5 slots were left).

--- a/benchmarks/measures/callers.py
+++ b/benchmarks/measures/callers.py
@@ -62,7 +62,7 @@
     def _on_verdict(self, root: Root, resends: int, ok: bool, reason: str) -> None:
         delay_ms = self.world.deployment.client_delay_ms
         if ok:
-            root.served = True
+            root.served_ms = self.world.clock.now_ms + delay_ms
             return
         root.refusals[reason] = root.refusals.get(reason, 0) + 1
         if resends < RESENDS:
--- a/benchmarks/measures/deployment.py
+++ b/benchmarks/measures/deployment.py
@@ -2,6 +2,12 @@
 
 from typing import NamedTuple
 
+SAME_ZONE_DELAY_MS = 0.2
+JITTER_SHARE = 0.2
+LOSS = 0.002
+RETRANSMIT_MS = 200.0
+DEADLINE_MS = 3_000.0
+
 
 class ServiceSpec(NamedTuple):
     """One service: slots of each target, and its own mean time for a call."""
@@ -32,11 +38,15 @@
     zone_delay_ms: float
     client_delay_ms: float
 
+    @property
+    def mean_delay_ms(self) -> float:
+        """The mean delay between two targets, of which some share a zone."""
+        across = (len(self.zones) - 1) / len(self.zones)
+        jittered = 1 + JITTER_SHARE / 2
+        return jittered * (
+            across * self.zone_delay_ms + (1 - across) * SAME_ZONE_DELAY_MS
+        )
 
-JITTER_SHARE = 0.2
-LOSS = 0.002
-RETRANSMIT_MS = 200.0
-DEADLINE_MS = 3_000.0
 
 PAMPA = Deployment(
     name="pampa",
--- a/benchmarks/measures/model.py
+++ b/benchmarks/measures/model.py
@@ -17,10 +17,15 @@
     root_hash: int
     path: tuple[str, ...]
     arrived_ms: float
-    served: bool = False
+    served_ms: float | None = None
     refusals: dict[str, int] = field(default_factory=dict)
     work_ms: float = 0.0
 
+    @property
+    def served(self) -> bool:
+        """Whether the caller has got the whole answer."""
+        return self.served_ms is not None
+
 
 class Reply(NamedTuple):
     """The end of one attempt, as its sender hears it."""
--- a/benchmarks/measures/omniscient.py
+++ b/benchmarks/measures/omniscient.py
@@ -10,7 +10,7 @@
     for service in reversed(path):
         own_ms = deployment.services[service].own_ms * slow.get(service, 1.0)
         held[service] = own_ms + below_ms
-        below_ms = held[service] + 2 * deployment.zone_delay_ms
+        below_ms = held[service] + 2 * deployment.mean_delay_ms
     return held
 
 
--- a/benchmarks/measures/summary.py
+++ b/benchmarks/measures/summary.py
@@ -16,8 +16,9 @@
 class Summary(NamedTuple):
     """What is reported of one run.
 
-    ``goodput`` is whole requests served over what an omniscient scheduler would have
-    served while the cause lasted; ``served_by_rank`` is the share of the demand.
+    ``goodput`` is whole requests that ended while the cause lasted, over what an
+    omniscient scheduler would have served in that time. ``served_by_rank`` is the
+    share of the requests that arrived meanwhile, served then or later by a resend.
     """
 
     goodput: float
@@ -34,7 +35,9 @@
     case, deployment = world.case, world.deployment
     during = [r for r in roots if case.start_ms <= r.arrived_ms < case.end_ms]
     ideal = _ideal_by_rank(deployment, case)
-    served = _share_by_rank(during)
+    finished = sum(
+        1 for r in roots if r.served and case.start_ms <= r.served_ms < case.end_ms
+    )
     demand = {r.rank: r.rate_per_s * case.demand for r in deployment.routes.values()}
     ideal_total = sum(ideal.values()) * (case.end_ms - case.start_ms) / 1_000
     work_ms = sum(root.work_ms for root in roots)
@@ -44,8 +47,8 @@
         for reason, number in root.refusals.items():
             refusals[reason] = refusals.get(reason, 0) + number
     return Summary(
-        goodput=sum(root.served for root in during) / ideal_total,
-        served_by_rank=served,
+        goodput=finished / ideal_total,
+        served_by_rank=_share_by_rank(during),
         ideal_by_rank={rank: ideal[rank] / demand[rank] for rank in sorted(ideal)},
         wasted_share=wasted_ms / work_ms,
         recovery_ms=_recovery_ms(case, roots),
--- a/benchmarks/measures/world.py
+++ b/benchmarks/measures/world.py
@@ -12,6 +12,7 @@
     JITTER_SHARE,
     LOSS,
     RETRANSMIT_MS,
+    SAME_ZONE_DELAY_MS,
     Deployment,
 )
 from .model import Hop, Root
@@ -83,7 +84,8 @@
 
     def send(self, from_zone: str, to_zone: str, action, *args) -> None:
         """Deliver a message over a stream: what is lost comes late."""
-        base_ms = 0.2 if from_zone == to_zone else self.deployment.zone_delay_ms
+        same = from_zone == to_zone
+        base_ms = SAME_ZONE_DELAY_MS if same else self.deployment.zone_delay_ms
         delay_ms = base_ms * (1 + self.random.uniform(0, JITTER_SHARE))
         if self.random.random() < LOSS:
             delay_ms += RETRANSMIT_MS
--- a/src/jacinthshed/internal/admission/limit.py
+++ b/src/jacinthshed/internal/admission/limit.py
@@ -4,7 +4,8 @@
 concurrency, and to stay when it is slow for another reason: then fewer slots would only
 lower the throughput. Both look the same from a single latency. So when the latency
 exceeds the tolerance the limit is lowered on trial, and stays lower only if the
-latency followed; otherwise the slowness is taken for the new baseline.
+latency followed. After a trial that failed the limit recovers, and the next trial waits
+twice as long; after several in a row the slowness is taken for the new baseline.
 """
 
 from ..bundle.model import AdmissionPolicy
@@ -14,6 +15,8 @@
 TRIAL_FACTOR = 0.75
 TRIAL_SUCCESS = 0.875
 REFUSAL_FACTOR = 0.9
+FIRST_PAUSE_WINDOWS = 8
+FAILED_TRIALS_TO_REBASE = 5
 MIN_WINDOW_SAMPLES = 32
 MIN_OWN_MS = 0.05
 
@@ -32,6 +35,8 @@
         self._saturated = False
         self._samples_to_skip = 0
         self._trial_from: tuple[float, float] | None = None
+        self._failed_trials = 0
+        self._pause_windows = 0
 
     @property
     def value(self) -> int:
@@ -89,13 +94,16 @@
     def _note(self, route: str, own_ms: float, hold_ms: float) -> None:
         latency = self._routes.get(route)
         if latency is None:
-            latency = self._routes[route] = RouteLatency(own_ms, hold_ms)
-        latency.note(own_ms, hold_ms)
+            latency = self._routes[route] = RouteLatency(hold_ms)
+        baseline_ms = latency.baseline_ms
+        latency.note(own_ms, hold_ms, self._policy.latency_tolerance)
         if self._samples_to_skip > 0:
             self._samples_to_skip -= 1
             return
+        if baseline_ms is None:
+            return
         self._observed_ms += own_ms
-        self._expected_ms += latency.baseline_ms
+        self._expected_ms += baseline_ms
         self._samples += 1
         if self._samples >= max(MIN_WINDOW_SAMPLES, 2 * self.value):
             self._close_window()
@@ -107,7 +115,12 @@
         if self._trial_from is not None:
             self._end_trial(ratio)
         elif ratio <= self._policy.latency_tolerance:
-            self._limit = min(self._slots, self._limit + max(1.0, self._limit**0.5))
+            self._failed_trials = 0
+            self._pause_windows = 0
+            self._raise()
+        elif self._pause_windows > 0:
+            self._pause_windows -= 1
+            self._raise()
         elif saturated and self.value > self._policy.min_limit:
             self._trial_from = (self._limit, ratio)
             self._lower(TRIAL_FACTOR)
@@ -116,14 +129,24 @@
         assert self._trial_from is not None
         limit_before, ratio_before = self._trial_from
         self._trial_from = None
-        if ratio > ratio_before * TRIAL_SUCCESS:
-            self._limit = limit_before
+        if ratio <= ratio_before * TRIAL_SUCCESS:
+            self._failed_trials = 0
+            return
+        self._limit = limit_before
+        self._pause_windows = FIRST_PAUSE_WINDOWS << self._failed_trials
+        self._failed_trials += 1
+        if self._failed_trials >= FAILED_TRIALS_TO_REBASE:
+            self._failed_trials = 0
             self._rebase(ratio)
 
     def _rebase(self, ratio: float) -> None:
         """Take the present latency for the baseline: concurrency didn't cause it."""
         for latency in self._routes.values():
-            latency.baseline_ms *= ratio
+            if latency.baseline_ms is not None:
+                latency.baseline_ms *= ratio
+
+    def _raise(self) -> None:
+        self._limit = min(self._slots, self._limit + max(1.0, self._limit**0.5))
 
     def _lower(self, factor: float) -> None:
         # Calls that are in flight now started under the old limit and tell nothing
