Queue worth a bounded time; windows of the level hold enough answers

Now the queue is as long as 400 ms of work (at least 4). Now a window without room waits for 2 answers, at most 150 ms more.

--- a/src/jacinthshed/internal/admission/admission.py
+++ b/src/jacinthshed/internal/admission/admission.py
@@ -15,6 +15,8 @@
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 5_000
 HASH_SPREAD = 1_024
+MAX_QUEUE_WAIT_MS = 400.0
+MIN_QUEUE = 4
 
 
 class Running(NamedTuple):
@@ -160,7 +162,7 @@
     def _enqueue(self, now_ms: float, work: Work, route: str) -> list[Decision]:
         self._limit.note_saturated()
         decisions: list[Decision] = []
-        if self._queue.is_full:
+        if len(self._queue) >= self._places():
             if order_of(work) > order_of(self._queue.lowest()):
                 return [self._shed(now_ms, work)]
             decisions.append(self._shed_lowest(now_ms))
@@ -169,6 +171,19 @@
         self._queue.push(work, latest_start_ms)
         return decisions
 
+    def _places(self) -> int:
+        """Return how many may wait now.
+
+        A queue only has to bridge the gaps between arrivals. When the backend server is
+        slow, a full one would hold the slots of the services above for longer than
+        the work itself takes.
+        """
+        hold_ms = self._limit.mean_hold_ms
+        if hold_ms <= 0.0:
+            return self._queue.capacity
+        worth = int(self._limit.value * MAX_QUEUE_WAIT_MS / hold_ms)
+        return min(self._queue.capacity, max(MIN_QUEUE, worth))
+
     def _shed_lowest(self, now_ms: float) -> Refuse:
         lowest = self._queue.pop_lowest()
         del self._routes[lowest.ticket]
@@ -207,12 +222,13 @@
         return Start(ticket)
 
     def _renew_level(self, now_ms: float) -> None:
-        half_full = self._limit.value + self._queue.capacity // 2
+        places = self._places()
+        half_full = self._limit.value + places // 2
         free = half_full - len(self._running) - len(self._queue)
-        self._control.renew(now_ms, free, self._level_floor())
+        self._control.renew(now_ms, free, self._level_floor(places))
 
-    def _level_floor(self) -> ShedLevel:
-        middle = self._queue.order_at(self._queue.capacity // 2)
+    def _level_floor(self, places: int) -> ShedLevel:
+        middle = self._queue.order_at(places // 2)
         if middle is None:
             return ALL_SHED
         return ShedLevel(middle.rank, middle.root_hash)
--- a/src/jacinthshed/internal/admission/level_control.py
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -9,6 +9,8 @@
 from .work import ROOT_HASH_SPAN
 
 WINDOW_MS = 50.0
+EXTRA_WINDOW_MS = 150.0
+MIN_FINISHED = 2
 MAX_ARRIVALS = 1_024
 GROWTH_FACTOR = 2.0
 GROWTH_SPAN = ROOT_HASH_SPAN // 4
@@ -51,7 +53,7 @@
         """
         if self._window_ends_ms is None:
             self._window_ends_ms = now_ms + WINDOW_MS
-        if now_ms < self._window_ends_ms:
+        if not self._is_over(now_ms, has_room=free > 0):
             return
         wanted = max(0, self._finished + free)
         if self._shed or self.level != NOTHING_SHED:
@@ -62,6 +64,17 @@
         self._shed = False
         self._window_ends_ms = now_ms + WINDOW_MS
 
+    def _is_over(self, now_ms: float, *, has_room: bool) -> bool:
+        """Whether the window tells enough.
+
+        With slow calls hardly any end in a short window, and the level would close
+        on the most important work. Where there is room it may open in any case.
+        """
+        assert self._window_ends_ms is not None
+        if self._finished < MIN_FINISHED and not has_room:
+            return now_ms >= self._window_ends_ms + EXTRA_WINDOW_MS
+        return now_ms >= self._window_ends_ms
+
     def _move(self, now_ms: float, wanted: int) -> None:
         if len(self._arrivals) > wanted:
             self._arrivals.sort()
--- a/src/jacinthshed/internal/admission/limit.py
+++ b/src/jacinthshed/internal/admission/limit.py
@@ -9,7 +9,7 @@
 """
 
 from ..bundle.model import AdmissionPolicy
-from .latency import RouteLatency
+from .latency import HOLD_WEIGHT, RouteLatency
 from .outcome import Outcome
 
 TRIAL_FACTOR = 0.75
@@ -34,6 +34,7 @@
         self._samples = 0
         self._saturated = False
         self._samples_to_skip = 0
+        self._mean_hold_ms = 0.0
         self._trial_from: tuple[float, float] | None = None
         self._failed_trials = 0
         self._pause_windows = 0
@@ -60,6 +61,11 @@
         known = self._routes.get(route)
         return known.hold_ms if known is not None else 0.0
 
+    @property
+    def mean_hold_ms(self) -> float:
+        """How long a call holds a slot, over all routes; 0 before the first."""
+        return self._mean_hold_ms
+
     def note_saturated(self) -> None:
         """Remember that the limit, and not the demand, bounded the concurrency."""
         self._saturated = True
@@ -92,6 +98,7 @@
             self._trial_from = None
 
     def _note(self, route: str, own_ms: float, hold_ms: float) -> None:
+        self._mean_hold_ms += HOLD_WEIGHT * (hold_ms - self._mean_hold_ms)
         latency = self._routes.get(route)
         if latency is None:
             latency = self._routes[route] = RouteLatency(hold_ms)
