--- /dev/null
+++ b/benchmarks/measures/__main__.py
@@ -0,0 +1,78 @@
+"""Runs the cases and writes a CSV file, a table and a plot."""
+
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+import cyclopts
+
+from .case import CASES
+from .deployment import DEPLOYMENTS
+from .plot import write_plot
+from .stack import BASELINES, FULL, STACKS
+from .summary import summarize
+from .table import Row, to_markdown, write_csv
+from .world import World
+
+ABLATION_DEPLOYMENT = "pampa"
+ABLATION_CASES = ("demand 2x", "demand 10x", "deepest 10x slower")
+
+
+class Job(NamedTuple):
+    """Names and seed of one run."""
+
+    deployment: str
+    case: str
+    stack: str
+    seed: int
+
+
+def all_jobs(seed: int) -> list[Job]:
+    """Return every run of the table: the switches only on a few cases."""
+    jobs = []
+    for deployment in DEPLOYMENTS:
+        for case in CASES:
+            ablation = deployment == ABLATION_DEPLOYMENT and case.name in ABLATION_CASES
+            stacks = STACKS if ablation else (FULL, *BASELINES)
+            jobs += [Job(deployment, case.name, s.name, seed) for s in stacks]
+    return jobs
+
+
+def run_job(job: Job) -> Row:
+    """Run one case to its end."""
+    world = World(
+        deployment=DEPLOYMENTS[job.deployment],
+        case=next(case for case in CASES if case.name == job.case),
+        stack=next(stack for stack in STACKS if stack.name == job.stack),
+        seed=job.seed,
+    )
+    return Row(*job[:3], summarize(world, world.run()))
+
+
+def main(*, out: Path, seed: int = 1, jobs: int = 2, stack: str = "") -> None:
+    """Run the measures.
+
+    Parameters
+    ----------
+    out
+        Directory for ``measures.csv``, ``measures.md`` and ``measures.svg``.
+    seed
+        Seed of every run.
+    jobs
+        Runs at the same time.
+    stack
+        Only runs of this stack, as "jacinthshed" or "no layer"; all if empty.
+    """
+    out.mkdir(parents=True, exist_ok=True)
+    chosen = [job for job in all_jobs(seed) if stack in ("", job.stack)]
+    with ProcessPoolExecutor(jobs) as pool:
+        rows = list(pool.map(run_job, chosen))
+    write_csv(rows, out / "measures.csv")
+    table = to_markdown(rows)
+    (out / "measures.md").write_text(table)
+    write_plot(rows, out / "measures.svg")
+    print(table, end="")
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/benchmarks/measures/callers.py
+++ b/benchmarks/measures/callers.py
@@ -1,9 +1,13 @@
 """Callers that send a steady stream and resend hard, whatever they are told."""
 
+from collections import Counter
+
 from jacinthshed.internal.bundle.model import RetryPolicy
 
 from .deployment import DEADLINE_MS
 from .model import Hop, Root
+from .node import TIMEOUT
+from .target import BELOW
 
 CALLERS = 200
 RESENDS = 3
@@ -16,6 +20,7 @@
     def __init__(self, world) -> None:
         self.world = world
         self.roots: list[Root] = []
+        self.truth: Counter[str] = Counter()
 
     def start(self, end_ms: float) -> None:
         """Begin one stream of requests for each route."""
@@ -47,17 +52,21 @@
 
         def done(ok: bool, reason: str, calls_done: int) -> None:
             node.ledger.close(request_id)
+            if not ok:
+                self.truth[_claim(hop, reason)] += 1
             self._on_verdict(root, resends, ok, reason)
 
         if self.world.stack.allowance:
             if resends and not node.bucket.try_resend(caller, self.world.clock.now_ms):
+                self.truth["not run"] += 1
                 self._on_verdict(root, resends, False, "retry-limit")
                 return
             if not resends:
                 node.bucket.fresh(caller)
         request_id = self.world.new_id()
+        hop = Hop(root, 0, request_id, 0, deadline_at_ms, done)
         node.ledger.open(request_id, RetryPolicy().allowance)
-        node.call(Hop(root, 0, request_id, 0, deadline_at_ms, done))
+        node.call(hop)
 
     def _on_verdict(self, root: Root, resends: int, ok: bool, reason: str) -> None:
         delay_ms = self.world.deployment.client_delay_ms
@@ -69,3 +78,12 @@
             self.world.clock.after(
                 delay_ms + RESEND_AFTER_MS, self._submit, root, resends + 1
             )
+
+
+def _claim(hop: Hop, reason: str) -> str:
+    """Return what the caller is told of a failed submission, and whether it holds."""
+    if reason == BELOW:
+        return "ran, failed below"
+    if reason == TIMEOUT or hop.uncertain:
+        return "may have run"
+    return "not run, but had started" if hop.started else "not run"
--- a/benchmarks/measures/model.py
+++ b/benchmarks/measures/model.py
@@ -50,6 +50,8 @@
     done: Callable[[bool, str, int], Any]
     attempts: int = 0
     open: bool = True
+    started: bool = False
+    uncertain: bool = False
     answered: set[str] = field(default_factory=set)
 
     @property
--- a/benchmarks/measures/node.py
+++ b/benchmarks/measures/node.py
@@ -8,6 +8,7 @@
 
 HOP_BACKOFF_MS = 50.0
 UNREACHABLE_AFTER_MS = 500.0
+TIMEOUT = "timeout"
 
 
 class Node:
@@ -28,9 +29,9 @@
         """Make one call, and tell its verdict to ``hop.done``."""
         wait_ms = hop.deadline_at_ms - self.world.clock.now_ms
         if wait_ms <= 0:
-            hop.done(False, "deadline", 0)
+            hop.done(False, TIMEOUT, 0)
             return
-        self.world.clock.after(wait_ms, self._end, hop, False, "deadline", 0)
+        self.world.clock.after(wait_ms, self._end, hop, False, TIMEOUT, 0)
         self._attempt(hop)
 
     def _attempt(self, hop: Hop) -> None:
@@ -126,6 +127,7 @@
         if target.reachable or attempt_id in hop.answered:
             return
         hop.answered.add(attempt_id)
+        hop.uncertain = True
         self._in_flight[target.name] -= 1
         self._unreachable_until_ms[target.name] = (
             self.world.clock.now_ms + UNREACHABLE_AFTER_MS
--- a/benchmarks/measures/stack.py
+++ b/benchmarks/measures/stack.py
@@ -34,10 +34,11 @@
 )
 FIXED_LIMITS = NO_LAYER._replace(name="fixed limits", queue_factor=1.0)
 
+BASELINES = (NO_LAYER, FIXED_LIMITS)
+
 STACKS = (
     FULL,
-    NO_LAYER,
-    FIXED_LIMITS,
+    *BASELINES,
     FULL._replace(name="no invested order", invested=False),
     FULL._replace(name="no root hash", root_hash=False),
     FULL._replace(name="no levels", levels=False),
--- a/benchmarks/measures/summary.py
+++ b/benchmarks/measures/summary.py
@@ -28,6 +28,7 @@
     recovery_ms: float | None
     attempts_per_first: float
     refusals: dict[str, int]
+    claims: dict[str, int]
 
 
 def summarize(world, roots: list[Root]) -> Summary:
@@ -54,6 +55,7 @@
         recovery_ms=_recovery_ms(case, roots),
         attempts_per_first=world.attempts / world.first_attempts,
         refusals=refusals,
+        claims=dict(world.callers.truth),
     )
 
 
--- a/benchmarks/measures/target.py
+++ b/benchmarks/measures/target.py
@@ -13,6 +13,7 @@
 from .model import Attempt, Hop, Reply
 
 FAR_MS = 1e12
+BELOW = "below"
 
 
 class Job:
@@ -93,6 +94,7 @@
         job.started_ms = self.world.clock.now_ms
         own_ms = self.world.own_ms(self.service)
         job.attempt.hop.root.work_ms += own_ms
+        job.attempt.hop.started = True
         self.world.clock.after(own_ms, self._after_own_work, ticket)
 
     def _after_own_work(self, ticket: int) -> None:
@@ -127,9 +129,7 @@
         decisions = self._gate.finish(
             now_ms, ticket, latency_ms, outcome, job.nested_ms
         )
-        self._answer(
-            job, ok, reason and f"below:{reason}".replace("below:below", "below")
-        )
+        self._answer(job, ok, BELOW if reason else "")
         self._take(decisions)
 
     def _answer(self, job: Job, ok: bool, reason: str) -> None:
