--- /dev/null
+++ b/tests/cover/test_levels.py
@@ -0,0 +1,146 @@
+"""Shed levels: what they refuse, how they age, and that a target reopens."""
+
+from hypothesis import given, settings, strategies as st
+
+from jacinthshed.internal.admission import (
+    NOTHING_SHED,
+    ROOT_HASH_SPAN,
+    Admission,
+    LevelTable,
+    Outcome,
+    Refuse,
+    ShedLevel,
+    Start,
+)
+from jacinthshed.internal.admission.levels import FRESH_MS, PROBE_FRACTION
+from tests.common.admission import fixed_limit_policy, work
+
+TTL_MS = 1_000.0
+NO_PROBE = 1.0
+
+levels = st.builds(ShedLevel, st.integers(1, 5), st.integers(0, ROOT_HASH_SPAN - 1))
+all_ranks = st.integers(1, 6)
+hashes = st.integers(0, ROOT_HASH_SPAN - 1)
+
+
+def _refuses(table, now_ms, rank, root_hash, fraction=NO_PROBE):
+    wait_ms = table.refuses(now_ms, ("service",), rank, root_hash, fraction)
+    return wait_ms is not None
+
+
+@settings(max_examples=200)
+@given(told=st.lists(levels, max_size=4), rank=all_ranks, root_hash=hashes)
+def test_refuses_only_what_all_fresh_targets_shed(told, rank, root_hash):
+    table = LevelTable(ttl_ms=TTL_MS)
+    for host, level in enumerate(told):
+        table.note(0.0, "service", f"host{host}", level)
+    expected = bool(told) and all((rank, root_hash) >= level for level in told)
+    assert _refuses(table, FRESH_MS, rank, root_hash) == expected
+    assert not _refuses(table, FRESH_MS, rank, root_hash, PROBE_FRACTION / 2)
+
+
+@settings(max_examples=200)
+@given(
+    told=st.lists(levels, min_size=1, max_size=4),
+    rank=all_ranks,
+    root_hash=hashes,
+    ages=st.lists(st.floats(FRESH_MS * 1.01, 2 * TTL_MS), min_size=2, max_size=2),
+)
+def test_old_levels_open_step_by_step(told, rank, root_hash, ages):
+    table = LevelTable(ttl_ms=TTL_MS)
+    for host, level in enumerate(told):
+        table.note(0.0, "service", f"host{host}", level)
+    younger_ms, older_ms = sorted(ages)
+    refused_younger = _refuses(table, younger_ms, rank, root_hash)
+    assert not (refused_younger and rank == 1)
+    assert refused_younger or not _refuses(table, older_ms, rank, root_hash)
+    assert not _refuses(table, TTL_MS + 0.1, rank, root_hash)
+
+
+def test_half_way_through_its_age_a_level_lets_half_the_roots_pass():
+    table = LevelTable(ttl_ms=TTL_MS)
+    table.note(0.0, "service", "host", ShedLevel(2, 0))
+    middle_ms = (FRESH_MS + TTL_MS) / 2
+    assert not _refuses(table, middle_ms, 3, int(0.49 * ROOT_HASH_SPAN))
+    assert _refuses(table, middle_ms, 3, int(0.51 * ROOT_HASH_SPAN))
+
+
+def test_an_old_open_level_does_not_outvote_a_fresh_one():
+    table = LevelTable(ttl_ms=TTL_MS)
+    table.note(0.0, "service", "a", NOTHING_SHED)
+    table.note(2 * FRESH_MS, "service", "b", ShedLevel(2, 0))
+    assert _refuses(table, 2 * FRESH_MS, 3, 0)
+
+
+class Target:
+    """An admission under a stream of works that each take ``hold_ms``."""
+
+    def __init__(self, slots, hold_ms):
+        policy = fixed_limit_policy(slots)
+        self.admission = Admission(slots=slots, queue=slots, policy=policy)
+        self.hold_ms = hold_ms
+        self.now_ms = 0.0
+        self.tickets = 0
+        self.ends = []
+
+    def _take(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, Start):
+                self.ends.append((self.now_ms + self.hold_ms, decision.ticket))
+
+    def run(self, until_ms, works_per_ms):
+        """Offer what the level lets pass, at alternating ranks; return the levels."""
+        seen = []
+        while self.now_ms < until_ms:
+            self.now_ms += 1.0
+            while self.ends and self.ends[0][0] <= self.now_ms:
+                ticket = self.ends.pop(0)[1]
+                self._take(
+                    self.admission.finish(self.now_ms, ticket, self.hold_ms, Outcome.OK)
+                )
+            for _ in range(works_per_ms):
+                self._offer()
+            seen.append(self.admission.level(self.now_ms))
+        return seen
+
+    def _offer(self):
+        self.tickets += 1
+        rank = 1 + self.tickets % 3
+        root_hash = self.tickets * 2_654_435_761 % ROOT_HASH_SPAN
+        if not self.admission.level(self.now_ms).sheds(rank, root_hash):
+            item = work(self.tickets, rank=rank, root_hash=root_hash)
+            self._take(self.admission.offer(self.now_ms, item, "route"))
+
+
+def test_level_settles_where_the_demand_below_it_fills_the_slots():
+    target = Target(slots=20, hold_ms=20.0)
+    settled = target.run(3_000.0, works_per_ms=3)[1_000:]
+    # A third of the demand can be served: all of rank 1 and nearly nothing else.
+    assert min(settled).rank >= 1
+    near_rank_1 = [
+        ShedLevel(1, ROOT_HASH_SPAN // 2) <= s < (2, 3 << 30) for s in settled
+    ]
+    assert sum(near_rank_1) >= 0.95 * len(near_rank_1)
+
+
+def test_level_is_open_one_second_after_the_demand_has_gone():
+    target = Target(slots=20, hold_ms=20.0)
+    assert target.run(2_000.0, works_per_ms=6)[-1] != NOTHING_SHED
+    assert target.run(3_000.0, works_per_ms=0)[-1] == NOTHING_SHED
+
+
+def test_work_that_would_go_to_the_front_of_the_queue_is_not_shed():
+    admission = Admission(slots=2, queue=4, policy=fixed_limit_policy(2))
+    for now_ms in range(1_000):
+        # Nothing ends, and two of rank 1 come among many of rank 2.
+        rank = 1 if now_ms in (100, 400) else 2
+        admission.offer(float(now_ms), work(now_ms, rank=rank), "route")
+        assert not admission.level(float(now_ms)).sheds(1, ROOT_HASH_SPAN - 1)
+    assert admission.level(1_000.0).sheds(3, 0)
+
+
+def test_a_leaving_target_sheds_all():
+    target = Target(slots=1, hold_ms=20.0)
+    target.admission.drain(0.0)
+    assert target.admission.level(0.0).sheds(1, 0)
+    assert isinstance(target.admission.offer(0.0, work(1), "route")[0], Refuse)
