--- a/benchmarks/measures/model.py
+++ b/benchmarks/measures/model.py
@@ -17,10 +17,15 @@
     root_hash: int
     path: tuple[str, ...]
     arrived_ms: float
-    served: bool = False
+    served_ms: float | None = None
     refusals: dict[str, int] = field(default_factory=dict)
     work_ms: float = 0.0
 
+    @property
+    def served(self) -> bool:
+        """Whether the caller has got the whole answer."""
+        return self.served_ms is not None
+
 
 class Reply(NamedTuple):
     """The end of one attempt, as its sender hears it."""
@@ -45,6 +50,8 @@
     done: Callable[[bool, str, int], Any]
     attempts: int = 0
     open: bool = True
+    started: bool = False
+    uncertain: bool = False
     answered: set[str] = field(default_factory=set)
 
     @property
@@ -56,6 +63,11 @@
         """The route of this call: the services from here on."""
         return ">".join(self.root.path[self.depth :])
 
+    @property
+    def below(self) -> str:
+        """The route of the call that this one makes."""
+        return ">".join(self.root.path[self.depth + 1 :])
+
     @property
     def is_last(self) -> bool:
         return self.depth == len(self.root.path) - 1
--- a/benchmarks/measures/node.py
+++ b/benchmarks/measures/node.py
@@ -8,6 +8,7 @@
 
 HOP_BACKOFF_MS = 50.0
 UNREACHABLE_AFTER_MS = 500.0
+TIMEOUT = "timeout"
 
 
 class Node:
@@ -28,15 +29,15 @@
         """Make one call, and tell its verdict to ``hop.done``."""
         wait_ms = hop.deadline_at_ms - self.world.clock.now_ms
         if wait_ms <= 0:
-            hop.done(False, "deadline", 0)
+            hop.done(False, TIMEOUT, 0)
             return
-        self.world.clock.after(wait_ms, self._end, hop, False, "deadline", 0)
+        self.world.clock.after(wait_ms, self._end, hop, False, TIMEOUT, 0)
         self._attempt(hop)
 
     def _attempt(self, hop: Hop) -> None:
         if not hop.open:
             return
-        if self._is_shed(hop):
+        if self.is_shed(hop, hop.name):
             self._end(hop, False, "level", 0)
             return
         hop.attempts += 1
@@ -54,12 +55,13 @@
                 UNREACHABLE_AFTER_MS, self._check_link, hop, attempt_id, target
             )
 
-    def _is_shed(self, hop: Hop) -> bool:
+    def is_shed(self, hop: Hop, name: str) -> bool:
+        """Whether all targets that ``name`` leads to would shed the hop's root."""
         if not self.world.stack.levels:
             return False
         wait_ms = self.levels.refuses(
             self.world.clock.now_ms,
-            (hop.name,),
+            (name,),
             hop.root.rank,
             self.world.hash_of(hop.root),
             self.world.random.random(),
@@ -125,6 +127,7 @@
         if target.reachable or attempt_id in hop.answered:
             return
         hop.answered.add(attempt_id)
+        hop.uncertain = True
         self._in_flight[target.name] -= 1
         self._unreachable_until_ms[target.name] = (
             self.world.clock.now_ms + UNREACHABLE_AFTER_MS
