Golden sessions of whole fleets; the home of a key is logged as a choice

Six sessions over real nodes in virtual time: decision lines, messages of callers and starts at backend servers.

Found: the choice of a key's home made no routing line, so that an order could not be followed to its target. Now it does, with the reason 'home'.

--- a/src/jacinthshed/internal/flow/fenced.py
+++ b/src/jacinthshed/internal/flow/fenced.py
@@ -135,12 +135,19 @@
     home = next(iter(tools.home_order(call)), None)
     if home is not None:
         tried |= {home}
+        _log_home(call, tools, home)
         yield home
     while (host := tools.pick(call, tried)) is not None:
         tried |= {host}
         yield host
 
 
+def _log_home(call: Call, tools: CallTools, home: str) -> None:
+    """Log the choice of the home, as other choices are logged by ``pick``."""
+    fields = {"service": call.service, "host": home, "candidates": (home,)}
+    tools.log("routing", call=call, **fields, reason="home")
+
+
 def _mint_at_next(
     call: Call, tools: CallTools, hosts: Iterator[str], ballot: str
 ) -> Generator[Step, Event, Fence | None]:
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -1,6 +1,7 @@
 """Whole deployments in one trio run: real nodes, stand-ins, a memory network."""
 
 import random
+from collections import Counter
 from contextlib import asynccontextmanager
 
 import trio
@@ -36,8 +37,10 @@
 
 EPOCH_MS = 1_800_000_000_000
 PLATFORM = "10.9.9.9:80"
-KEY = generate_key()
-OPERATORS = OperatorSettings(keys={"ops": public_key_text(KEY.public_key())})
+KEYS = {"ops": generate_key(), "deputy": generate_key()}
+OPERATORS = OperatorSettings(
+    keys={name: public_key_text(key.public_key()) for name, key in KEYS.items()}
+)
 
 
 def virtual_wall_ms():
@@ -45,10 +48,11 @@
     return EPOCH_MS + int(trio_now_ms())
 
 
-def signed(bundle):
+def signed(bundle, operator="ops"):
     """Return the signed envelope of a bundle given as plain data."""
     document = yaml.safe_dump(bundle, sort_keys=False)
-    return envelope_bytes(sign(Envelope(document=document), "ops", KEY))
+    envelope = sign(Envelope(document=document), operator, KEYS[operator])
+    return envelope_bytes(envelope)
 
 
 def run_virtual(main, *args):
@@ -56,6 +60,21 @@
     return trio.run(main, *args, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class NoRecord:
+    """Hears what happens in a fleet, and notes none of it."""
+
+    def decided(self, host, event, fields):
+        """Note one decision line of a node."""
+
+    def starts(self, host):
+        """Return the count of starts, by key, of the backend servers of ``host``."""
+        return Counter()
+
+    def network(self, network, name):
+        """Return ``network`` as the caller ``name`` shall use it."""
+        return network
+
+
 class Host:
     """One host: its backend server, its node and what they did."""
 
@@ -111,7 +130,7 @@
         )
         self.backend = BackendState(options=options)
         self.backend.starts = self.fleet.starts.setdefault(
-            self.host, self.backend.starts
+            self.host, self.fleet.record.starts(self.host)
         )
         self._backend_scope = trio.CancelScope()
         network = self.fleet.network_of(self)
@@ -164,6 +183,7 @@
 
     def log(self, event, **fields):
         self.decisions.append({"event": event, **fields})
+        self.fleet.record.decided(self.host, event, fields)
 
     @property
     def version(self):
@@ -182,8 +202,9 @@
 class Fleet:
     """Hosts of a deployment, its platform and its network."""
 
-    def __init__(self, nursery, layout, bundle, options):
+    def __init__(self, nursery, layout, bundle, options, record):
         self.nursery = nursery
+        self.record = record
         self.bundle = bundle
         self.options = options
         self.platform = PlatformState()
@@ -200,10 +221,10 @@
     def __getitem__(self, host):
         return self.hosts[host]
 
-    def publish(self, **changes):
+    def publish(self, operator="ops", **changes):
         """Publish the bundle with ``changes`` at the platform."""
         self.bundle = {**self.bundle, **changes}
-        self.platform.put("bundle", signed(self.bundle).decode())
+        self.platform.put("bundle", signed(self.bundle, operator).decode())
 
     async def start(self):
         await self.nursery.start(self._serve_platform)
@@ -216,14 +237,15 @@
 
     def caller(self, *hosts, client="10.8.8.8"):
         """Return a caller that knows the entries of ``hosts``."""
-        network = self._network(client)
+        network = self.record.network(self._network(client), "caller")
         entries = [self.hosts[host].entry for host in hosts]
         return Caller(entries=entries, network=network, rng=random.Random(5))
 
     async def send(self, host, request, timeout_ms=10_000, informational=None):
         """Send one HTTP request to the entry of ``host``, once."""
+        network = self.record.network(self._network("10.8.8.8"), "client")
         pool = BackendPool(
-            connect=self._network("10.8.8.8").connect,
+            connect=network.connect,
             address=self.hosts[host].entry,
             max_connections=1,
         )
@@ -331,10 +353,10 @@
 
 
 @asynccontextmanager
-async def running_fleet(layout, bundle, options=None):
-    """Give a fleet whose nodes all serve."""
+async def running_fleet(layout, bundle, options=None, record=None):
+    """Give a fleet whose nodes all serve; ``record`` hears what happens in it."""
     async with trio.open_nursery() as nursery:
-        fleet = Fleet(nursery, layout, bundle, options or {})
+        fleet = Fleet(nursery, layout, bundle, options or {}, record or NoRecord())
         await fleet.start()
         yield fleet
         nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/common/node_sessions.py
@@ -0,0 +1,155 @@
+"""Sessions of whole fleets whose course is kept in golden files."""
+
+import trio
+
+from jacinthshed.internal.http.message import Request
+from tests.common.fleet import run_virtual, running_fleet
+from tests.common.policies import (
+    THREE_DEEP_LAYOUT,
+    THREE_DEEP_OPTIONS,
+    route,
+    single_bundle,
+    single_layout,
+    three_deep_bundle,
+)
+from tests.common.session_record import SessionRecord
+
+SCHEDULING_SEED = 7
+HOST = (b"host", b"callers")
+
+
+def run_session(session):
+    """Return the lines of ``session``; the same ones each time."""
+    trio._core._run._r.seed(SCHEDULING_SEED)
+    record = SessionRecord()
+    run_virtual(session, record)
+    return record.lines
+
+
+def _orders(**options):
+    shared = {"service_ms": 100.0, "spread": 0.0, "answer_bytes": 0}
+    return {"orders": {**shared, **options}}
+
+
+def _lookup(number=0, *fields):
+    return Request(b"GET", b"/orders/lookup?id=%d" % number, (HOST, *fields))
+
+
+async def lookup_and_order(record):
+    """A lookup and an order, each through three services."""
+    options = {
+        name: {"answer_bytes": 0, **THREE_DEEP_OPTIONS.get(name, {})}
+        for name in ("orders", "parts", "schedules")
+    }
+    async with running_fleet(
+        THREE_DEEP_LAYOUT, three_deep_bundle(), options, record
+    ) as fleet:
+        caller = fleet.caller("orders-0")
+        await caller.request("GET", "/orders/lookup")
+        await caller.request("POST", "/orders/book", key=caller.new_key())
+
+
+async def shed_lookups(record):
+    """Lookups fill a target; an order that comes last is served before them."""
+    bundle = single_bundle(
+        services={"orders": {"slots": 1, "connections": 10, "queue": 2}}
+    )
+    async with (
+        running_fleet(single_layout(1), bundle, _orders(slots=2), record) as fleet,
+        trio.open_nursery() as nursery,
+    ):
+        for number in range(5):
+            nursery.start_soon(fleet.send, "orders-0", _lookup(number))
+        await trio.sleep(0.01)
+        caller = fleet.caller("orders-0")
+        await caller.request("POST", "/orders/book", key=caller.new_key())
+
+
+async def leave_with_work(record):
+    """A host leaves while an order runs there."""
+    async with (
+        running_fleet(
+            single_layout(2), single_bundle(), _orders(service_ms=1_000.0), record
+        ) as fleet,
+        trio.open_nursery() as nursery,
+    ):
+        caller = fleet.caller("orders-0")
+
+        async def order(key):
+            await caller.request("POST", "/orders/book", key=key, first_use=True)
+
+        for key in ("key-0", "key-1"):
+            nursery.start_soon(order, key)
+        await trio.sleep(0.2)
+        record.note("(session)", "orders-1 begins to leave")
+        fleet["orders-1"].node.leave()
+        await trio.sleep(0.6)
+        nursery.start_soon(order, "key-3")
+        await fleet["orders-1"].node_ended.wait()
+        record.note("(session)", "the node of orders-1 has ended")
+
+
+async def silent_link(record):
+    """The link to the target of an order goes silent while the order runs."""
+    async with (
+        running_fleet(
+            single_layout(2), single_bundle(), _orders(service_ms=300.0), record
+        ) as fleet,
+        trio.open_nursery() as nursery,
+    ):
+        caller = fleet.caller("orders-0")
+
+        async def order(key):
+            await caller.request("POST", "/orders/book", key=key, first_use=True)
+
+        for key in ("key-0", "key-1"):
+            nursery.start_soon(order, key)
+        await trio.sleep(0.1)
+        record.note("(session)", "the links between the hosts go silent")
+        fleet.silence("orders-0", "orders-1")
+
+
+async def crash_and_quarantine(record):
+    """A request kills backend servers until it is refused; others go on."""
+    async with running_fleet(
+        single_layout(3), single_bundle(), _orders(), record
+    ) as fleet:
+        for number in range(4):
+            for host in fleet.hosts.values():
+                if host.backend_is_down:
+                    await host.start_backend()
+            entry = f"orders-{number % 3}"
+            await fleet.send(entry, _lookup(0, (b"x-crash", b"1")))
+            await fleet.send(entry, _lookup(1))
+            await trio.sleep(0.5)
+
+
+async def new_bundle_and_clash(record):
+    """A new bundle, then one of the same version by another operator."""
+    async with running_fleet(
+        single_layout(3), single_bundle(), _orders(), record
+    ) as fleet:
+        record.note("(session)", "ops signs version 2")
+        fleet.publish(version=2)
+        await trio.sleep(10)
+        record.note("(session)", "deputy signs version 2 as well")
+        routes = {
+            "lookup": route("orders", 4, True),
+            "book": route("orders", 1, False, method="POST"),
+        }
+        fleet.publish("deputy", routes=routes)
+        await trio.sleep(10)
+        record.note("(session)", "ops signs version 3 and settles it")
+        fleet.publish("ops", version=3)
+        await trio.sleep(10)
+        record.note("(session)", f"versions in force: {fleet.versions()}")
+
+
+SESSIONS = {
+    "lookup_and_order": lookup_and_order,
+    "shed_lookups": shed_lookups,
+    "leave_with_work": leave_with_work,
+    "silent_link": silent_link,
+    "crash_and_quarantine": crash_and_quarantine,
+    "new_bundle_and_clash": new_bundle_and_clash,
+}
