--- a/tests/common/node_sessions.py
+++ b/tests/common/node_sessions.py
@@ -35,6 +35,13 @@
     return Request(b"GET", b"/orders/lookup?id=%d" % number, (HOST, *fields))
 
 
+def _order(key, fence=""):
+    fields = [HOST, (b"idempotency-key", key.encode())]
+    if fence:
+        fields.append((b"jacinthshed-fence", fence.encode()))
+    return Request(b"POST", b"/orders/book", tuple(fields))
+
+
 async def lookup_and_order(record):
     """A lookup and an order, each through three services."""
     options = {
@@ -145,11 +152,28 @@
         record.note("(session)", f"versions in force: {fleet.versions()}")
 
 
+async def lost_fence(record):
+    """A caller that lost its fences resends an order, and another after a loss."""
+    async with running_fleet(
+        single_layout(5), single_bundle(), _orders(), record
+    ) as fleet:
+        await fleet.send("orders-0", _order("key-0", fence="new"))
+        record.note("(session)", "the caller lost the fence of key-0")
+        await fleet.send("orders-1", _order("key-0"))
+        record.note("(session)", "orders-3 and orders-4 are lost")
+        fleet["orders-3"].kill_node()
+        fleet["orders-4"].kill_node()
+        await trio.sleep(20)
+        await fleet.send("orders-2", _order("key-0"))
+        await fleet.send("orders-1", _order("key-1"))
+
+
 SESSIONS = {
     "lookup_and_order": lookup_and_order,
     "shed_lookups": shed_lookups,
     "leave_with_work": leave_with_work,
     "silent_link": silent_link,
+    "lost_fence": lost_fence,
     "crash_and_quarantine": crash_and_quarantine,
     "new_bundle_and_clash": new_bundle_and_clash,
 }
