--- /dev/null
+++ b/tests/nocover/test_processes.py
@@ -0,0 +1,254 @@
+"""Real processes on loopback: killed, stopped, cut off, restarted.
+
+The oracle is the record of starts at the stand-in backend servers, held against every
+verdict that a caller was told.
+"""
+
+import signal
+from collections import Counter
+
+import pytest
+import trio
+from returns.result import Success
+
+from jacinthshed import Verdict
+from tests.common.policies import route
+from tests.common.real_deployment import real_deployment
+from tests.common.silent_relay import SilentRelay
+from tests.common.told_verdicts import ToldVerdicts
+
+HOSTS = ("orders-0", "orders-1", "orders-2")
+TEST_TIMEOUT_S = 60
+PAST_SKEW_S = 3.0
+
+
+@pytest.fixture
+def deploy(tmp_path, monkeypatch):
+    """Return a function that starts three hosts."""
+
+    def start(**arguments):
+        return real_deployment(tmp_path, monkeypatch, len(HOSTS), **arguments)
+
+    return start
+
+
+def run(main):
+    """Run ``main`` in real time, but not for ever."""
+
+    async def bounded():
+        with trio.fail_after(TEST_TIMEOUT_S):
+            await main()
+
+    trio.run(bounded)
+
+
+def keys(count):
+    return [f"key-{number}" for number in range(count)]
+
+
+def test_killed_node(deploy):
+    with deploy(service_ms=300.0) as deployment:
+
+        async def main():
+            told = ToldVerdicts(deployment.caller("orders-0", "orders-1"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(told.send, keys(60), 0.02)
+                await trio.sleep(0.5)
+                deployment.kill(deployment.node("orders-2"))
+                await trio.sleep(1)
+                await deployment.restart_node("orders-2")
+            unclear = told.keys_told(Verdict.MAY_HAVE_RUN)
+            await told.send(unclear)
+            assert deployment.starts("orders-2")
+            told.hold_against(deployment.starts())
+            assert len(told.keys_told(Verdict.RAN)) > len(told.results) / 2
+
+        run(main)
+
+
+def test_killed_backend_server(deploy):
+    with deploy(service_ms=2_000.0) as deployment:
+
+        async def main():
+            told = ToldVerdicts(deployment.caller("orders-0"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(told.send, keys(15))
+                await trio.sleep(1)
+                lost = deployment.starts("orders-2")
+                assert lost
+                deployment.kill(deployment.backend("orders-2"))
+            await deployment.restart_backend("orders-2")
+            told.hold_against(deployment.starts() + lost)
+            assert set(told.keys_told(Verdict.MAY_HAVE_RUN)) == set(lost)
+            await told.send(lost)
+            told.hold_against(deployment.starts() + lost)
+
+        run(main)
+
+
+def test_node_stopped_across_a_deadline(deploy):
+    with deploy(service_ms=100.0) as deployment:
+
+        async def main():
+            told = ToldVerdicts(deployment.caller("orders-0"))
+            await told.send(["before"])
+            node = deployment.node("orders-2")
+            node.signal(signal.SIGSTOP)
+            # These reach the stopped node's socket, and their callers give up.
+            await told.send(keys(30), deadline_ms=1_000)
+            unclear = told.keys_told(Verdict.MAY_HAVE_RUN)
+            assert unclear
+            await trio.sleep(PAST_SKEW_S)
+            node.signal(signal.SIGCONT)
+            await trio.sleep(1)
+            assert not deployment.starts("orders-2") & Counter(unclear)
+            told.hold_against(deployment.starts())
+            # Under its fence each has its proof now.
+            await told.send(unclear)
+            told.hold_against(deployment.starts())
+            assert not told.keys_told(Verdict.MAY_HAVE_RUN)
+
+        run(main)
+
+
+def test_node_stopped_within_a_deadline(deploy):
+    with deploy(service_ms=100.0) as deployment:
+
+        async def main():
+            told = ToldVerdicts(deployment.caller("orders-0"))
+            await told.send(["before"])
+            node = deployment.node("orders-2")
+            node.signal(signal.SIGSTOP)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(told.send, keys(30))
+                await trio.sleep(PAST_SKEW_S)
+                node.signal(signal.SIGCONT)
+            told.hold_against(deployment.starts())
+            assert not told.keys_told(Verdict.MAY_HAVE_RUN)
+
+        run(main)
+
+
+def test_silent_connection(deploy):
+    relays = {}
+
+    def relay_all(plans):
+        relays.update((plan.peer, SilentRelay(plan.peer)) for plan in plans)
+        return {peer: relay.address for peer, relay in relays.items()}
+
+    with deploy(relays=relay_all, service_ms=500.0) as deployment:
+
+        async def main():
+            told = ToldVerdicts(deployment.caller("orders-0"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(told.send, keys(15))
+                await trio.sleep(0.25)
+                assert sum(relay.silence() for relay in relays.values())
+            assert deployment.starts("orders-1", "orders-2")
+            told.hold_against(deployment.starts())
+            assert len(told.keys_told(Verdict.RAN)) == 15, told.results
+
+        run(main)
+    for relay in relays.values():
+        relay.close()
+
+
+def test_platform_down_at_the_start_of_a_node(deploy):
+    with deploy() as deployment:
+
+        async def main():
+            deployment.kill(deployment.node("orders-2"))
+            deployment.set_platform_mode("down")
+            deployment.seeds = [deployment.running["orders-0"].plan.peer]
+            await deployment.restart_node("orders-2")
+            told = ToldVerdicts(deployment.caller("orders-2"))
+            await told.send(keys(20), 0.01)
+            assert len(told.keys_told(Verdict.RAN)) == 20, told.results
+            told.hold_against(deployment.starts())
+
+        run(main)
+
+
+def test_two_operators_sign_the_same_version(deploy):
+    with deploy() as deployment:
+
+        async def in_force():
+            """Return what each node has in force, and how many clashes it shows."""
+            shown = [(await deployment.status(host))["bundle"] for host in HOSTS]
+            return [(b["version"], b["digest"], len(b["clashes"])) for b in shown]
+
+        async def publish(operator, version, rank):
+            routes = {**deployment.bundle["routes"], "lookup": lookup_of(rank)}
+            deployment.publish(operator, version=version, routes=routes)
+            await trio.sleep(2)
+            return await in_force()
+
+        async def main():
+            was_replaced = set()
+            for version in range(2, 6):
+                first = await publish("operator", version, 4)
+                second = await publish("deputy", version, 5)
+                digests = {shown[1] for shown in first}
+                highest = max(digests | {shown[1] for shown in second})
+                assert len(digests) == 1
+                assert set(second) == {(version, highest, version - 1)}
+                was_replaced.add(highest not in digests)
+            # The later one was the higher one in some rounds and not in others.
+            assert was_replaced == {True, False}
+
+        run(main)
+
+
+def lookup_of(rank):
+    return route("orders", rank, True)
+
+
+def test_termination_cuts_no_work(deploy):
+    with deploy(service_ms=1_500.0) as deployment:
+
+        async def main():
+            leaving = deployment.node("orders-2")
+            told = ToldVerdicts(deployment.caller("orders-0", "orders-2"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(told.send, keys(15))
+                await trio.sleep(0.7)
+                assert deployment.admin("orders-2")["in_hand"]
+                leaving.signal(signal.SIGTERM)
+                code = await trio.to_thread.run_sync(leaving.child.wait)
+            assert code == 0
+            assert deployment.admin("orders-2")["cancelled"] == 0
+            assert len(told.keys_told(Verdict.RAN)) == 15, told.results
+            told.hold_against(deployment.starts())
+
+        run(main)
+
+
+def test_rolling_restart_fails_no_lookup(deploy):
+    with deploy(service_ms=20.0) as deployment:
+        results = []
+
+        async def load(caller):
+            async def lookup():
+                results.append(await caller.request("GET", "/orders/lookup"))
+
+            async with trio.open_nursery() as nursery:
+                while True:
+                    nursery.start_soon(lookup)
+                    await trio.sleep(0.01)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load, deployment.caller(*HOSTS))
+                for host in HOSTS:
+                    await trio.sleep(1)
+                    node = deployment.node(host)
+                    node.signal(signal.SIGTERM)
+                    assert await trio.to_thread.run_sync(node.child.wait) == 0
+                    await deployment.restart_node(host)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+
+        run(main)
+        failed = [result for result in results if not isinstance(result, Success)]
+        assert len(results) > 500
+        assert failed == [], (len(failed), len(results), failed[:3])
