--- a/tests/common/streams.py
+++ b/tests/common/streams.py
@@ -16,7 +16,7 @@
 
     @property
     def socket(self):
-        """This stream, for whoever asks its socket whether there is anything to read."""
+        """This stream, for whoever asks a socket if there is anything to read."""
         return self
 
     def is_readable(self):
