--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -172,7 +172,9 @@
 
     def _health_task(self, backend: BackendSettings, parts: NodeParts) -> HealthTask:
         def changed(is_up: bool) -> None:
-            self._log("backend_up" if is_up else "backend_down", host=backend.address)
+            self._log(
+                "backend_up" if is_up else "backend_down", address=str(backend.address)
+            )
             parts.state.check.backend_is_up = is_up
 
         pool = BackendPool(
