--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -1,7 +1,6 @@
 """A deployment of stand-ins and nodes as separate processes on loopback."""
 
 import json
-import socket
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -14,10 +13,13 @@
     generate_key,
     sign,
 )
+from jacinthshed.internal.demo.free_ports import free_ports
 from jacinthshed.internal.settings.keys import public_key_text
 
 from .processes import Process, Processes
 
+__all__ = ["Deployment", "TargetPlan", "free_ports", "plan_targets"]
+
 OPERATOR = "operator"
 NODE_MODULE = "jacinthshed"
 PLATFORM_MODULE = "jacinthshed.internal.standin.platform"
@@ -54,18 +56,6 @@
     node: Process
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free at the moment of the call."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
 def plan_targets(
     services: list[str], zones: list[str], per_service: int
 ) -> list[TargetPlan]:
--- a/src/jacinthshed/internal/caller/resend_policy.py
+++ b/src/jacinthshed/internal/caller/resend_policy.py
@@ -2,8 +2,8 @@
 
 import random
 
+from ..retry.token_bucket import TokenBucket
 from ..verdict import Refusal, Verdict
-from .retry_bucket import RetryBucket
 from .submission import Submission
 
 MAX_RESENDS = 2
@@ -18,11 +18,11 @@
 
     def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
-        self._bucket = RetryBucket(ratio=_RETRY_RATIO, burst=_RETRY_BURST)
+        self._bucket = TokenBucket(burst=_RETRY_BURST)
 
     def note_fresh_request(self) -> None:
         """Count a request of which no copy was sent before."""
-        self._bucket.note_fresh_request()
+        self._bucket.add(_RETRY_RATIO)
 
     def has_one_for(self, submission: Submission) -> bool:
         """Return whether a copy that is given up now could be sent again."""
--- a/src/jacinthshed/internal/retry/resend_bucket.py
+++ b/src/jacinthshed/internal/retry/resend_bucket.py
@@ -3,29 +3,10 @@
 from collections import OrderedDict
 
 from ..bundle.model import RetryPolicy
+from .token_bucket import TokenBucket
 
 MAX_CALLERS = 4_096
 NODE_BURST_FACTOR = 10
-TRICKLE_PER_MS = 0.0001
-
-
-class _Bucket:
-    """Tokens of one caller or of the node; each resend takes one."""
-
-    __slots__ = ("burst", "refilled_ms", "tokens")
-
-    def __init__(self, burst: float) -> None:
-        self.burst = burst
-        self.tokens = burst
-        self.refilled_ms: float | None = None
-
-    def add(self, tokens: float) -> None:
-        self.tokens = min(self.burst, self.tokens + tokens)
-
-    def refill(self, now_ms: float) -> None:
-        if self.refilled_ms is not None:
-            self.add((now_ms - self.refilled_ms) * TRICKLE_PER_MS)
-        self.refilled_ms = now_ms
 
 
 class ResendBucket:
@@ -40,8 +21,8 @@
     def __init__(self, *, policy: RetryPolicy, max_callers: int = MAX_CALLERS) -> None:
         self._policy = policy
         self._max_callers = max_callers
-        self._node = _Bucket(policy.burst * NODE_BURST_FACTOR)
-        self._callers: OrderedDict[str, _Bucket] = OrderedDict()
+        self._node = TokenBucket(burst=policy.burst * NODE_BURST_FACTOR)
+        self._callers: OrderedDict[str, TokenBucket] = OrderedDict()
 
     def fresh(self, caller: str) -> None:
         """Count a request that was not sent before."""
@@ -53,16 +34,14 @@
         bucket = self._bucket_of(caller)
         bucket.refill(now_ms)
         self._node.refill(now_ms)
-        if bucket.tokens < 1 or self._node.tokens < 1:
+        if not (bucket.has_token and self._node.has_token):
             return False
-        bucket.tokens -= 1
-        self._node.tokens -= 1
-        return True
+        return bucket.take() and self._node.take()
 
-    def _bucket_of(self, caller: str) -> _Bucket:
+    def _bucket_of(self, caller: str) -> TokenBucket:
         bucket = self._callers.get(caller)
         if bucket is None:
-            bucket = self._callers[caller] = _Bucket(self._policy.burst)
+            bucket = self._callers[caller] = TokenBucket(burst=self._policy.burst)
             if len(self._callers) > self._max_callers:
                 self._callers.popitem(last=False)
         self._callers.move_to_end(caller)
--- a/tests/cover/test_retry_bucket.py
+++ b/tests/cover/test_retry_bucket.py
@@ -4,7 +4,8 @@
 
 from jacinthshed.internal.bundle.model import RetryPolicy
 from jacinthshed.internal.retry import ResendBucket
-from jacinthshed.internal.retry.resend_bucket import NODE_BURST_FACTOR, TRICKLE_PER_MS
+from jacinthshed.internal.retry.resend_bucket import NODE_BURST_FACTOR
+from jacinthshed.internal.retry.token_bucket import TRICKLE_PER_MS
 
 RATIO = 0.25
 BURST = 3
