A peer's bytes end its own link at the most

A frame that a handler can't take, or that can't be encoded, was an exception in the task of its link and would have ended the node.

--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -8,11 +8,14 @@
 from ..bundle.model import MembershipPolicy
 from ..http.network import send_now
 from ..membership.link_health import LinkHealth
+from ..telemetry.log import get_logger
 from ..wire.codec import PROTOCOL_VERSION, FrameBuffer, FrameError, encode
 from ..wire.frames import Frame, Heartbeat, Hello, Submit
 from .clock import Clock
 from .one_shot import OneShot
 
+log = get_logger(__name__)
+
 RECEIVE_BYTES = 65_536
 BURST_GAP_MS = 0.2
 MAX_OUTBOX_BYTES = 64 * 1024 * 1024
@@ -75,7 +78,13 @@
         now_ms = self._clock.now_ms()
         if isinstance(frame, Submit):
             self.health.sent(now_ms)
-        data = self._send_now(now_ms, encode(frame))
+        try:
+            data = encode(frame)
+        except FrameError:
+            # Its exchange ends at the deadline; no other work may suffer for it.
+            log.exception("frame can't be sent", link=self.number)
+            return
+        data = self._send_now(now_ms, data)
         if not data:
             return
         self._outbox.append(data)
@@ -143,6 +152,9 @@
                     self._take(frame, opened)
         except (FrameError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
+        except Exception:
+            # What one peer sends must not end the node and all its other work.
+            log.exception("frame handler failed", link=self.number)
 
     def _take(self, frame: Frame, opened: OneShot[Hello | None]) -> None:
         if self.peer is None:
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -27,7 +27,7 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 _LENGTH = struct.Struct(">I")
-_KINDS: tuple[type, ...] = (
+KINDS: tuple[type, ...] = (
     Hello,
     Submit,
     Reply,
@@ -42,7 +42,7 @@
     StatusAsk,
     StatusData,
 )
-_KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
+_KIND_NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
 
 class FrameError(Exception):
@@ -52,9 +52,13 @@
 def encode(frame: Frame) -> bytes:
     """Return ``frame`` as bytes for the wire.
 
-    Raises ``FrameError`` when the frame is larger than ``MAX_FRAME_BYTES``.
+    Raises ``FrameError`` when the frame is larger than ``MAX_FRAME_BYTES`` or holds
+    an integer of more than 64 bits.
     """
-    payload = msgpack.packb([_KIND_NUMBERS[type(frame)], *frame])
+    try:
+        payload = msgpack.packb([_KIND_NUMBERS[type(frame)], *frame])
+    except (OverflowError, ValueError) as error:
+        raise FrameError(f"{type(frame).__name__}: {error}") from error
     if len(payload) > MAX_FRAME_BYTES:
         raise FrameError(
             f"frame of {len(payload)} bytes exceeds the limit of {MAX_FRAME_BYTES}"
@@ -69,7 +73,7 @@
     """
     try:
         kind, *fields = msgpack.unpackb(payload, use_list=True, strict_map_key=True)
-        return msgspec.convert(fields, _KINDS[kind])
+        return msgspec.convert(fields, KINDS[kind])
     except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
         raise FrameError(f"malformed frame: {error}") from error
 
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -259,6 +259,10 @@
         finally:
             await pool.close()
 
+    async def connect(self, address):
+        """Open a connection from a client of its own."""
+        return await self._network("10.7.7.7").connect(address)
+
     def network_of(self, host):
         return self._network(host.ip)
 
--- /dev/null
+++ b/tests/common/peer_input.py
@@ -0,0 +1,55 @@
+"""What a peer may send: whole frames with any fields, and bytes that are no frames."""
+
+import struct
+
+import msgpack
+from hypothesis import strategies as st
+
+from jacinthshed.internal.wire.codec import KINDS, PROTOCOL_VERSION, FrameError, encode
+from jacinthshed.internal.wire.frames import Hello, MemberRecord
+
+PEER = MemberRecord("peer", 1, "live", 0, "orders", "zone-a", "10.7.7.7:3", 0)
+HELLO = encode(Hello(PROTOCOL_VERSION, PEER, 0, b""))
+
+_plain = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**64 - 1),
+    st.floats(),
+    st.text(max_size=8),
+    st.binary(max_size=8),
+    st.sampled_from(["live", "gone", "k", "not-run", "orders-0", "lookup", "book"]),
+)
+_values = st.recursive(_plain, lambda inner: st.lists(inner, max_size=4), max_leaves=8)
+
+
+def _packed(kind, fields):
+    payload = msgpack.packb([kind, *fields])
+    return struct.pack(">I", len(payload)) + payload
+
+
+def frames_with_any_fields():
+    """Return a strategy of framed arrays, of which few are frames."""
+    kinds = st.integers(-1, len(KINDS))
+    return st.builds(_packed, kinds, st.lists(_values, max_size=18))
+
+
+def typed_frames():
+    """Return a strategy of frames whose fields have the right types."""
+    return st.sampled_from(KINDS).flatmap(st.from_type).map(_encoded)
+
+
+def _encoded(frame):
+    try:
+        return encode(frame)
+    except FrameError:  # An integer that msgpack can't carry.
+        return b""
+
+
+def junk():
+    """Return a strategy of bytes that were never meant as frames."""
+    return st.one_of(
+        st.binary(max_size=64),
+        st.just(b"\xff\xff\xff\xff"),
+        st.just(b"GET / HTTP/1.1\r\n\r\n"),
+    )
