Levels: no scan of hosts per call; aim at a quarter of the queue

The level now aims at a quarter of the queue in place of half (at least 2 entries): near the level, work waits almost the whole queue, and holds slots above meanwhile.

--- a/src/jacinthshed/internal/admission/admission.py
+++ b/src/jacinthshed/internal/admission/admission.py
@@ -199,10 +199,7 @@
 
     def _retry_after_ms(self, work: Work) -> int:
         """Return the time to empty the queue, spread so that resends don't meet."""
-        hold_ms = max(
-            (self._limit.hold_ms(route) for route in set(self._routes.values())),
-            default=0.0,
-        )
+        hold_ms = self._limit.mean_hold_ms
         drain_ms = hold_ms * (1 + len(self._queue) / self._limit.value)
         base_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, drain_ms))
         spread = (work.root_hash % HASH_SPREAD) / HASH_SPREAD
@@ -223,8 +220,10 @@
 
     def _renew_level(self, now_ms: float) -> None:
         places = self._places()
-        half_full = self._limit.value + places // 2
-        free = half_full - len(self._running) - len(self._queue)
+        # A short queue keeps the slots busy, and is all the waiting that work near the
+        # level does in slots of the services above.
+        goal = max(MIN_QUEUE // 2, places // 4)
+        free = self._limit.value + goal - len(self._running) - len(self._queue)
         self._control.renew(now_ms, free, self._level_floor(places))
 
     def _level_floor(self, places: int) -> ShedLevel:
--- a/src/jacinthshed/internal/admission/levels.py
+++ b/src/jacinthshed/internal/admission/levels.py
@@ -7,6 +7,7 @@
 from .work import ROOT_HASH_SPAN
 
 FRESH_MS = 100.0
+JUDGE_INTERVAL_MS = 10.0
 PROBE_FRACTION = 0.01
 RETRY_AFTER_MS = 500
 
@@ -18,6 +19,50 @@
     noted_ms: float
 
 
+class _HostLevels:
+    """The levels of one name's hosts, and the loosest of those that count.
+
+    A call must not look at all hosts. So the loosest is found again only when the host
+    that had it tells another, or when ``JUDGE_INTERVAL_MS`` have passed, in which
+    levels may have become old.
+    """
+
+    __slots__ = ("judged_ms", "loosest", "newest_ms", "noted")
+
+    def __init__(self) -> None:
+        self.noted: dict[str, NotedLevel] = {}
+        self.newest_ms = float("-inf")
+        self.loosest = NOTHING_SHED
+        self.judged_ms = float("-inf")
+
+    def note(self, now_ms: float, host: str, level: ShedLevel) -> None:
+        before = self.noted.get(host)
+        self.noted[host] = NotedLevel(level, now_ms)
+        self.newest_ms = now_ms
+        if level >= self.loosest:
+            self.loosest = level
+        elif before is None or before.level == self.loosest:
+            self.judged_ms = float("-inf")
+
+    def judge(self, now_ms: float, ttl_ms: float) -> ShedLevel:
+        """Return the loosest of the fresh levels, or of the newest if none is."""
+        if now_ms - self.judged_ms >= JUDGE_INTERVAL_MS:
+            self.judged_ms = now_ms
+            self._drop_before(now_ms - ttl_ms)
+            # One fresh level says more than the others' old ones: targets of a
+            # service share its load, and a stale level must not open what a fresh one
+            # closes.
+            oldest_ms = min(self.newest_ms, now_ms - FRESH_MS)
+            counted = [n.level for n in self.noted.values() if n.noted_ms >= oldest_ms]
+            self.loosest = max(counted, default=NOTHING_SHED)
+        return self.loosest
+
+    def _drop_before(self, oldest_ms: float) -> None:
+        if any(noted.noted_ms < oldest_ms for noted in self.noted.values()):
+            kept = {h: n for h, n in self.noted.items() if n.noted_ms >= oldest_ms}
+            self.noted = kept
+
+
 class LevelTable:
     """Shed levels by name and host; work that all hosts would shed is not sent.
 
@@ -30,16 +75,20 @@
 
     def __init__(self, *, ttl_ms: float) -> None:
         self._ttl_ms = ttl_ms
-        self._levels: dict[str, dict[str, NotedLevel]] = {}
+        self._names: dict[str, _HostLevels] = {}
 
     def note(self, now_ms: float, name: str, host: str, level: ShedLevel) -> None:
         """Remember the level that ``host`` has sent with an answer."""
-        self._levels.setdefault(name, {})[host] = NotedLevel(level, now_ms)
+        hosts = self._names.get(name)
+        if hosts is None:
+            hosts = self._names[name] = _HostLevels()
+        hosts.note(now_ms, host, level)
 
     def forget(self, host: str) -> None:
         """Drop all levels of a host that has left."""
-        for hosts in self._levels.values():
-            hosts.pop(host, None)
+        for hosts in self._names.values():
+            hosts.noted.pop(host, None)
+            hosts.judged_ms = float("-inf")
 
     def refuses(
         self,
@@ -57,7 +106,7 @@
         if fraction < PROBE_FRACTION:
             return None
         for name in names:
-            if self._all_shed(now_ms, name, rank, root_hash):
+            if self._sheds(now_ms, name, rank, root_hash):
                 return int(RETRY_AFTER_MS * (1 + root_hash / ROOT_HASH_SPAN))
         return None
 
@@ -67,29 +116,23 @@
         The level of a name is the loosest among its hosts, as any of them can be
         chosen.
         """
-        levels = [self._loosest(now_ms, name) for name in names]
+        levels = [self._fresh_level(now_ms, name) for name in names]
         return min(levels, default=NOTHING_SHED)
 
-    def _loosest(self, now_ms: float, name: str) -> ShedLevel:
-        hosts = self._known(now_ms, name)
-        fresh = [n.level for n in hosts.values() if now_ms - n.noted_ms <= FRESH_MS]
-        return max(fresh, default=NOTHING_SHED)
+    def _fresh_level(self, now_ms: float, name: str) -> ShedLevel:
+        hosts = self._names.get(name)
+        if hosts is None or now_ms - hosts.newest_ms > FRESH_MS:
+            return NOTHING_SHED
+        return hosts.judge(now_ms, self._ttl_ms)
 
-    def _all_shed(self, now_ms: float, name: str, rank: int, root_hash: int) -> bool:
-        hosts = self._known(now_ms, name)
-        if not hosts:
+    def _sheds(self, now_ms: float, name: str, rank: int, root_hash: int) -> bool:
+        hosts = self._names.get(name)
+        if hosts is None:
             return False
-        newest_ms = max(noted.noted_ms for noted in hosts.values())
-        # One fresh level says more than the others' old ones: targets of a service
-        # share its load, and a stale level must not open what a fresh one closes.
-        judged = [
-            noted
-            for noted in hosts.values()
-            if noted.noted_ms >= min(newest_ms, now_ms - FRESH_MS)
-        ]
-        if not all(noted.level.sheds(rank, root_hash) for noted in judged):
+        age_ms = now_ms - hosts.newest_ms
+        if age_ms > self._ttl_ms or self._is_reopened(age_ms, rank, root_hash):
             return False
-        return not self._is_reopened(now_ms - newest_ms, rank, root_hash)
+        return hosts.judge(now_ms, self._ttl_ms).sheds(rank, root_hash)
 
     def _is_reopened(self, age_ms: float, rank: int, root_hash: int) -> bool:
         """Whether the newest level is so old that this work goes past it."""
@@ -97,14 +140,3 @@
             return False
         opened = (age_ms - FRESH_MS) / max(1.0, self._ttl_ms - FRESH_MS)
         return rank == 1 or root_hash < opened * ROOT_HASH_SPAN
-
-    def _known(self, now_ms: float, name: str) -> dict[str, NotedLevel]:
-        """Return the levels of ``name`` by host, without those that are too old."""
-        hosts = self._levels.get(name)
-        if hosts is None:
-            return {}
-        oldest_ms = now_ms - self._ttl_ms
-        if any(noted.noted_ms < oldest_ms for noted in hosts.values()):
-            hosts = {h: n for h, n in hosts.items() if n.noted_ms >= oldest_ms}
-            self._levels[name] = hosts
-        return hosts
