--- a/benchmarks/measures/node.py
+++ b/benchmarks/measures/node.py
@@ -8,6 +8,7 @@
 
 HOP_BACKOFF_MS = 50.0
 UNREACHABLE_AFTER_MS = 500.0
+RECONNECT_EVERY_MS = 250.0
 TIMEOUT = "timeout"
 
 
@@ -23,7 +24,7 @@
         self.bucket = ResendBucket(policy=RetryPolicy())
         self._in_flight: dict[str, int] = {}
         self._loads: dict[str, float] = {}
-        self._unreachable_until_ms: dict[str, float] = {}
+        self._unreachable: set[str] = set()
 
     def call(self, hop: Hop) -> None:
         """Make one call, and tell its verdict to ``hop.done``."""
@@ -70,12 +71,9 @@
 
     def _choose(self, service: str):
         """Return the better of two random targets."""
-        now_ms = self.world.clock.now_ms
-        targets = [
-            target
-            for target in self.world.targets[service]
-            if self._unreachable_until_ms.get(target.name, 0.0) <= now_ms
-        ] or self.world.targets[service]
+        all_targets = self.world.targets[service]
+        linked = [t for t in all_targets if t.name not in self._unreachable]
+        targets = linked or all_targets
         picks = (self.world.random.choice(targets), self.world.random.choice(targets))
         return min(picks, key=self._score)
 
@@ -129,12 +127,19 @@
         hop.answered.add(attempt_id)
         hop.uncertain = True
         self._in_flight[target.name] -= 1
-        self._unreachable_until_ms[target.name] = (
-            self.world.clock.now_ms + UNREACHABLE_AFTER_MS
-        )
+        if target.name not in self._unreachable:
+            self._unreachable.add(target.name)
+            self.world.clock.after(RECONNECT_EVERY_MS, self._reconnect, target)
         if hop.open:
             self._on_failure(hop, "unreachable")
 
+    def _reconnect(self, target) -> None:
+        """Open a new link to a target that was cut off, as soon as one can be."""
+        if target.reachable:
+            self._unreachable.discard(target.name)
+        else:
+            self.world.clock.after(RECONNECT_EVERY_MS, self._reconnect, target)
+
     def _end(self, hop: Hop, ok: bool, reason: str, calls_done: int) -> None:
         if not hop.open:
             return
