--- a/src/jacinthshed/internal/admission/admission.py
+++ b/src/jacinthshed/internal/admission/admission.py
@@ -5,7 +5,7 @@
 from ..bundle.model import AdmissionPolicy
 from ..verdict import Reason
 from .decision import Decision, Refuse, Start
-from .level_control import LevelControl
+from .level_control import LevelControl, QueueState
 from .limit import AdaptiveLimit
 from .outcome import Outcome
 from .queue import WaitingQueue
@@ -219,15 +219,16 @@
         return Start(ticket)
 
     def _renew_level(self, now_ms: float) -> None:
+        self._control.renew(now_ms, self._queue_state())
+
+    def _queue_state(self) -> QueueState:
         places = self._places()
         # A short queue keeps the slots busy, and is all the waiting that work near the
         # level does in slots of the services above.
         goal = max(MIN_QUEUE // 2, places // 4)
         free = self._limit.value + goal - len(self._running) - len(self._queue)
-        self._control.renew(now_ms, free, self._level_floor(places))
-
-    def _level_floor(self, places: int) -> ShedLevel:
-        middle = self._queue.order_at(places // 2)
-        if middle is None:
-            return ALL_SHED
-        return ShedLevel(middle.rank, middle.root_hash)
+        return QueueState(
+            free=free,
+            middle=self._queue.order_at(places // 2),
+            last=self._queue.order_at(len(self._queue) - 1),
+        )
--- a/src/jacinthshed/internal/admission/level_control.py
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -2,11 +2,13 @@
 
 The level is not read off the queue at one moment: that would swing between "all" and
 "nothing" with each round trip. It is set once a window so that the part of the demand
-below it just fills the slots and half the queue.
+below it just fills the slots and a part of the queue.
 """
 
+from typing import NamedTuple
+
 from .shed_level import NOTHING_SHED, ShedLevel
-from .work import ROOT_HASH_SPAN
+from .work import ROOT_HASH_SPAN, WorkOrder
 
 WINDOW_MS = 50.0
 EXTRA_WINDOW_MS = 150.0
@@ -18,6 +20,20 @@
 RANK_TTL_MS = 30_000.0
 
 
+class QueueState(NamedTuple):
+    """What the level depends on besides arrivals and ends.
+
+    ``free`` is how many more entries fill the slots and the part of the queue that is
+    meant to be used; it is negative when more are there. ``middle`` is the entry in the
+    middle of the queue's places, ``last`` the one that would be shed first; they are
+    None where nothing waits.
+    """
+
+    free: int
+    middle: WorkOrder | None
+    last: WorkOrder | None
+
+
 class LevelControl:
     """The shed level of one target, renewed once a window."""
 
@@ -43,22 +59,14 @@
         """Remember that work was refused for load in this window."""
         self._shed = True
 
-    def renew(self, now_ms: float, free: int, floor: ShedLevel) -> None:
-        """Close the window, if it is over.
-
-        ``free`` is how many more entries would bring the queue to half its capacity,
-        slots included; it is negative when the queue is longer than that. Work below
-        ``floor`` would find a place in the first half of the queue, in front of what
-        waits there now, so that it is never shed.
-        """
+    def renew(self, now_ms: float, queue: QueueState) -> None:
+        """Close the window, if it is over."""
         if self._window_ends_ms is None:
             self._window_ends_ms = now_ms + WINDOW_MS
-        if not self._is_over(now_ms, has_room=free > 0):
+        if not self._is_over(now_ms, has_room=queue.free > 0):
             return
-        wanted = max(0, self._finished + free)
         if self._shed or self.level != NOTHING_SHED:
-            self._move(now_ms, wanted)
-            self.level = max(self.level, floor)
+            self._move(now_ms, queue)
         self._arrivals.clear()
         self._finished = 0
         self._shed = False
@@ -75,12 +83,24 @@
             return now_ms >= self._window_ends_ms + EXTRA_WINDOW_MS
         return now_ms >= self._window_ends_ms
 
-    def _move(self, now_ms: float, wanted: int) -> None:
+    def _move(self, now_ms: float, queue: QueueState) -> None:
+        wanted = max(0, self._finished + queue.free)
         if len(self._arrivals) > wanted:
             self._arrivals.sort()
-            self.level = min(self.level, ShedLevel(*self._arrivals[wanted]))
+            self._tighten(ShedLevel(*self._arrivals[wanted]), queue)
         elif not self._shed:
             self.level = self._looser(now_ms, wanted - len(self._arrivals))
+        if queue.middle is not None:
+            # Such work goes in front of half the queue: it is not shed.
+            middle = ShedLevel(queue.middle.rank, queue.middle.root_hash)
+            self.level = max(self.level, middle)
+
+    def _tighten(self, level: ShedLevel, queue: QueueState) -> None:
+        # What goes before the last entry is taken at present, so that a window without
+        # answers, or a limit just lowered, must not close the level on it.
+        if queue.last is not None:
+            last = ShedLevel(queue.last.rank, queue.last.root_hash)
+            self.level = min(self.level, max(level, last))
 
     def _looser(self, now_ms: float, missing: int) -> ShedLevel:
         """Return the next step of re-admission, for ``missing`` more arrivals.
--- a/src/jacinthshed/internal/admission/queue.py
+++ b/src/jacinthshed/internal/admission/queue.py
@@ -47,8 +47,8 @@
             heapq.heapify(self._expiries)
 
     def order_at(self, place: int) -> WorkOrder | None:
-        """Return the sort key of the entry at a place, counted from the first."""
-        return self._order[place] if place < len(self._order) else None
+        """Return the sort key of the entry at a place from 0, if there is one."""
+        return self._order[place] if 0 <= place < len(self._order) else None
 
     def lowest(self) -> Work:
         """Return the entry that would be shed first."""
