--- a/benchmarks/measures/model.py
+++ b/benchmarks/measures/model.py
@@ -53,6 +53,7 @@
     started: bool = False
     uncertain: bool = False
     answered: set[str] = field(default_factory=set)
+    tried: set[str] = field(default_factory=set)
 
     @property
     def service(self) -> str:
--- a/benchmarks/measures/node.py
+++ b/benchmarks/measures/node.py
@@ -47,7 +47,8 @@
             hop.request_id, attempt_id, calls_others=not hop.is_last
         )
         self.world.count_attempt(hop)
-        target = self._choose(hop.service)
+        target = self._choose(hop)
+        hop.tried.add(target.name)
         self._in_flight[target.name] = self._in_flight.get(target.name, 0) + 1
         attempt = Attempt(attempt_id, hop, part, self._reply_route(hop, attempt_id))
         self.world.send(self.zone, target.zone, target.receive, attempt)
@@ -69,11 +70,12 @@
         )
         return wait_ms is not None
 
-    def _choose(self, service: str):
-        """Return the better of two random targets."""
-        all_targets = self.world.targets[service]
+    def _choose(self, hop: Hop):
+        """Return the better of two random targets, which were not tried if possible."""
+        all_targets = self.world.targets[hop.service]
         linked = [t for t in all_targets if t.name not in self._unreachable]
         targets = linked or all_targets
+        targets = [t for t in targets if t.name not in hop.tried] or targets
         picks = (self.world.random.choice(targets), self.world.random.choice(targets))
         return min(picks, key=self._score)
 
