--- a/tests/cover/test_fence_revocation.py
+++ b/tests/cover/test_fence_revocation.py
@@ -7,6 +7,7 @@
 
 from jacinthshed.internal.fence.ballot import Ballots
 from jacinthshed.internal.fence.fence import decode_fence, encode_fence
+from jacinthshed.internal.fence.key_age import key_refusal
 from jacinthshed.internal.fence.path import (
     FreshKey,
     NewKey,
@@ -19,7 +20,7 @@
 from jacinthshed.internal.verdict import Verdict
 
 from ..common.fence_fleet import Fleet
-from ..common.fences import EPOCH_MS, KEPT_MS, make_fence
+from ..common.fences import EPOCH_MS, KEPT_MS, POLICY, make_fence
 
 ORDER = st.lists(st.integers(0, 11), min_size=40, max_size=40)
 
@@ -147,6 +148,26 @@
     assert [start.host for start in fleet.starts] == ["a"]
 
 
+@pytest.mark.parametrize(
+    ("lag_ms", "starts"), [(POLICY.skew_ms, 1), (KEPT_MS, 1), (2 * KEPT_MS, 2)]
+)
+def test_sleeper_starts_again_only_if_its_clock_lags_by_its_sleep(lag_ms, starts):
+    fleet = _fleet("ab")
+    fleet.targets["b"].skew_ms = -lag_ms
+    fleet.call("key", "x", "own", 1)
+    fleet.deliver_all()
+    fleet.leave("b")
+    fleet.now_ms += 2 * KEPT_MS
+    fleet.hear("y")
+    fleet.entries["y"].departed.clear()
+    fleet.call("key", "y", "bare")
+    fleet.deliver_all()
+    for host in fleet.hosts_with("queue"):
+        fleet.work(host, "dispatch")
+    # The last case is beyond the bound on clocks: it shows what the bound is for.
+    assert fleet.count("key") == starts
+
+
 def test_new_target_that_the_entry_node_has_not_heard_of_spoils_the_proof():
     fleet = _fleet("a")
     fleet.join("d")
@@ -233,6 +254,22 @@
     assert idempotent == Unfenced()
 
 
+@pytest.mark.parametrize(
+    ("key", "refused"),
+    [
+        (f"{EPOCH_MS >> 16:08x}-{EPOCH_MS & 0xFFFF:04x}-7000-8000-000000000000", True),
+        (f"{EPOCH_MS >> 16:08x}-{EPOCH_MS & 0xFFFF:04x}-4000-8000-000000000000", False),
+        ("order 17", False),
+    ],
+)
+def test_key_that_shows_its_age_is_refused_past_its_lifetime(key, refused):
+    at_ms = EPOCH_MS + POLICY.key_lifetime_ms
+    assert key_refusal(key, at_ms, POLICY) is None
+    refusal = key_refusal(key, at_ms + 1, POLICY)
+    assert (refusal is not None) == refused
+    assert refusal is None or refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
 def test_key_is_made_where_the_bundle_asks_for_none():
     path = choose_path(idempotent=False, require_key=False, key="", fence="")
     assert path == NewKey()
