Fences from the future start nothing and raise no limit; records in their own class

A host whose clock is ahead by more than the bound could mint fences whose tombstones, once dropped for room, raised the limit on mint times above all other fences: the target then refused all fenced work until its own clock got there. A fence that claims a long life is kept no longer than a key.

--- a/src/jacinthshed/internal/fence/checks.py
+++ b/src/jacinthshed/internal/fence/checks.py
@@ -6,11 +6,24 @@
 from .instant import Instant
 
 
+def expiry_ms(fence: Fence, policy: FencePolicy) -> int:
+    """Return the wall-clock time at which ``fence`` ends, whatever it claims."""
+    born_ms = min(fence.born_ms, fence.minted_ms)
+    return min(fence.expires_ms, born_ms + policy.key_lifetime_ms)
+
+
+def is_early(at: Instant, fence: Fence, policy: FencePolicy) -> bool:
+    """Return whether ``fence`` was minted by a clock that is beyond its bound.
+
+    Taken in, it would outlive its record here, and as a tombstone it would raise the
+    limit on mint times above those of all others.
+    """
+    return fence.minted_ms > at.wall_ms + policy.skew_ms
+
+
 def has_expired(at: Instant, fence: Fence, policy: FencePolicy) -> bool:
     """Return whether somewhere in the fleet ``fence`` may count as expired."""
-    key_ends_ms = fence.born_ms + policy.key_lifetime_ms
-    expires_ms = min(fence.expires_ms, key_ends_ms)
-    return at.wall_ms + policy.skew_ms >= expires_ms
+    return at.wall_ms + policy.skew_ms >= expiry_ms(fence, policy)
 
 
 def is_stale(at: Instant, ballot: str, policy: FencePolicy) -> bool:
--- a/src/jacinthshed/internal/fence/memo.py
+++ b/src/jacinthshed/internal/fence/memo.py
@@ -12,14 +12,12 @@
 from ..verdict import Refusal, Verdict
 from ..wire.frames import Reply, Revoke, Revoked
 from . import refusals
-from .checks import has_expired, is_stale, predates
+from .checks import has_expired, is_early, is_stale, predates
 from .decisions import Answered, Cancelled, Dead, Join, Run
 from .fence import Fence, decode_fence, encode_fence
 from .instant import Instant
-from .promises import Promises
+from .records import FenceRecords
 from .run_record import RunRecord, RunState
-from .runs import Runs
-from .tombstones import Tombstones
 
 Decision = Run | Join | Answered | Dead
 UNCHANGED_MS = float("inf")
@@ -46,32 +44,21 @@
         self._host = host
         self._incarnation = incarnation
         self._started_ms = started_ms
-        self._complete_since_ms = started_ms
-        self._policy = policy
-        self._runs = Runs(max_entries=max_entries, max_bytes=max_bytes)
-        self._tombstones = Tombstones(max_entries=max_entries)
-        self._promises = Promises(max_entries=max_entries)
+        self._records = FenceRecords(
+            started_ms=started_ms,
+            policy=policy,
+            max_entries=max_entries,
+            max_bytes=max_bytes,
+        )
 
     @property
     def sizes(self) -> dict[str, int]:
         """Entries of each table and bytes of held answers, for status and metrics."""
-        return {
-            "keys": len(self._runs),
-            "tombstones": len(self._tombstones),
-            "promises": len(self._promises),
-            "answer_bytes": self._runs.held_bytes,
-        }
+        return self._records.sizes
 
     def set_policy(self, at: Instant, policy: FencePolicy) -> None:
-        """Follow a new bundle.
-
-        Records that ended earlier were kept for the old lifetime only, so a longer one
-        is vouched for from there on.
-        """
-        if policy.key_lifetime_ms > self._policy.key_lifetime_ms:
-            kept_since_ms = at.now_ms - self._kept_ms()
-            self._complete_since_ms = max(self._complete_since_ms, kept_since_ms)
-        self._policy = policy
+        """Follow a new bundle."""
+        self._records.set_policy(at, policy)
 
     def submit(
         self,
@@ -86,7 +73,7 @@
 
         ``fingerprint`` tells two requests apart that were given the same key.
         """
-        self._expire(at)
+        self._records.expire(at)
         match decode_fence(token):
             case Success(fence):
                 return self._submit(at, key, fence, request_id, fingerprint)
@@ -100,15 +87,15 @@
         request was queued may wake when nobody counts on it any more. When the answer
         is no, call ``refused``.
         """
-        record = self._runs.get(key)
+        record = self._records.runs.get(key)
         if record is None or record.state is not RunState.QUEUED:
             return False
         fence = record.fence
         return (
             encode_fence(fence) == token
             and self._is_ours(fence)
-            and not has_expired(at, fence, self._policy)
-            and fence.ballot == self._promises.get(key)
+            and not has_expired(at, fence, self._records.policy)
+            and fence.ballot == self._records.promises.get(key)
         )
 
     def dispatched(self, key: str) -> None:
@@ -116,7 +103,7 @@
 
         Raises ``ValueError`` when the key isn't queued.
         """
-        record = self._runs.get(key)
+        record = self._records.runs.get(key)
         if record is None or record.state is not RunState.QUEUED:
             raise ValueError(f"key {key!r} is not queued; ask may_dispatch first")
         record.state = RunState.DISPATCHED
@@ -135,18 +122,17 @@
 
     def answered(self, at: Instant, key: str, reply: Reply) -> None:
         """Remember that the key ran, and its answer as long as there is room."""
-        record = self._end(at, key, RunState.ANSWERED)
-        self._runs.hold(record, reply._replace(allowance=0))
+        self._records.answered(at, key, reply)
 
     def failed(self, at: Instant, key: str) -> None:
         """Remember that the backend server broke off: the key may have run."""
-        self._end(at, key, RunState.FAILED)
+        self._records.failed(at, key)
 
     def cancel(
         self, at: Instant, key: str, token: str
     ) -> Cancelled | Join | Answered | Dead:
         """Turn the fence into a tombstone unless it was dispatched."""
-        self._expire(at)
+        self._records.expire(at)
         match decode_fence(token):
             case Success(fence):
                 return self._cancel(at, key, fence)
@@ -162,16 +148,15 @@
         service that came or went. It bounds what the node vouches for, so that a
         revoker that hasn't heard of that target doesn't take silence for proof.
         """
-        self._expire(at)
-        complete_ms = min(at.now_ms - self._complete_since_ms, self._kept_ms())
-        vouched_ms = min(complete_ms, list_age_ms)
+        self._records.expire(at)
+        vouched_ms = min(self._records.complete_ms(at), list_age_ms)
         outcome, fence = self._revoke(at, revoke.key, revoke.ballot)
         return Revoked(revoke.request_id, outcome, fence, int(vouched_ms))
 
     def _submit(
         self, at: Instant, key: str, fence: Fence, request_id: str, fingerprint: int
     ) -> Decision:
-        record = self._runs.get(key)
+        record = self._records.runs.get(key)
         if record is not None:
             if fingerprint != record.fingerprint:
                 return Dead(refusals.OTHER_REQUEST)
@@ -179,9 +164,9 @@
         refusal = self._obstacle(at, key, fence)
         if refusal is not None:
             return Dead(refusal)
-        if self._runs.full:
-            return Dead(self._bury(at, key, fence, refusals.MEMORY_FULL))
-        self._runs.add(
+        if self._records.runs.full:
+            return Dead(self._records.bury(at, key, fence, refusals.MEMORY_FULL))
+        self._records.runs.add(
             RunRecord(
                 key=key, fence=fence, request_id=request_id, fingerprint=fingerprint
             )
@@ -203,94 +188,69 @@
             if record.state is RunState.QUEUED and not self._is_ours(fence):
                 return Dead(refusals.OTHER_INCARNATION)
             if self._is_ours(fence):
-                self._bury(at, record.key, fence, refusals.MERGED)
+                self._records.bury(at, record.key, fence, refusals.MERGED)
         return Join(record.request_id)
 
     def _obstacle(self, at: Instant, key: str, fence: Fence) -> Refusal | None:
         """Return why a fence may not start a key that isn't known here."""
         if not self._is_ours(fence):
             return refusals.OTHER_INCARNATION
-        if fence.ballot != self._promises.get(key):
+        if fence.ballot != self._records.promises.get(key):
             return refusals.SUPERSEDED
-        tombstone = self._tombstones.get(key, fence)
+        tombstone = self._records.tombstones.get(key, fence)
         if tombstone is not None:
             return tombstone
-        if has_expired(at, fence, self._policy):
+        if is_early(at, fence, self._records.policy):
+            return refusals.EARLY
+        if has_expired(at, fence, self._records.policy):
             return refusals.EXPIRED
-        if fence.minted_ms <= self._runs.forgotten_minted_ms:
+        if fence.minted_ms <= self._records.runs.forgotten_minted_ms:
             return refusals.EXPIRED
-        if fence.minted_ms <= self._tombstones.horizon_ms:
+        if fence.minted_ms <= self._records.tombstones.horizon_ms:
             return refusals.BELOW_HORIZON
-        if predates(at, fence, self._policy, started_ms=self._started_ms):
+        if predates(at, fence, self._records.policy, started_ms=self._started_ms):
             return refusals.OLDER_KEY
         return None
 
     def _refused(
         self, at: Instant, key: str, fence: Fence, refusal: Refusal
     ) -> Refusal:
-        record = self._runs.get(key)
+        record = self._records.runs.get(key)
         if record is None:
-            return self._obstacle(at, key, fence) or self._bury(at, key, fence, refusal)
+            return self._obstacle(at, key, fence) or self._records.bury(
+                at, key, fence, refusal
+            )
         if record.ended or record.fence != fence:
             return refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
-        self._runs.remove(record)
-        return self._bury(at, key, fence, refusal)
+        self._records.runs.remove(record)
+        return self._records.bury(at, key, fence, refusal)
 
     def _cancel(
         self, at: Instant, key: str, fence: Fence
     ) -> Cancelled | Join | Answered | Dead:
-        record = self._runs.get(key)
+        record = self._records.runs.get(key)
         if record is None:
             refusal = self._obstacle(at, key, fence)
             if refusal is not None and refusal.verdict is not Verdict.NOT_RUN:
                 return Dead(refusal)
-            buried = refusal or self._bury(at, key, fence, refusals.CANCELLED)
+            buried = refusal or self._records.bury(at, key, fence, refusals.CANCELLED)
             return Cancelled(buried, "")
         if record.state is RunState.QUEUED and record.fence == fence:
-            self._runs.remove(record)
-            refusal = self._bury(at, key, fence, refusals.CANCELLED)
+            self._records.runs.remove(record)
+            refusal = self._records.bury(at, key, fence, refusals.CANCELLED)
             return Cancelled(refusal, record.request_id)
         return self._join(at, record, fence)
 
     def _revoke(self, at: Instant, key: str, ballot: str) -> tuple[str, str]:
-        record = self._runs.get(key)
+        record = self._records.runs.get(key)
         if record is not None:
             return "found", encode_fence(record.fence)
-        promised = self._promises.get(key)
-        if ballot < promised or is_stale(at, ballot, self._policy):
+        promised = self._records.promises.get(key)
+        if ballot < promised or is_stale(at, ballot, self._records.policy):
             return "superseded", promised
-        if ballot > promised and not self._promise(at, key, ballot):
+        if ballot > promised and not self._records.promise(at, key, ballot):
             return "superseded", promised
         return "tombstone", ""
 
-    def _promise(self, at: Instant, key: str, ballot: str) -> bool:
-        keep_until_ms = at.now_ms + self._kept_ms() + self._policy.skew_ms
-        return self._promises.give(key, ballot, keep_until_ms=keep_until_ms)
-
-    def _kept_ms(self) -> int:
-        # A resend may wait at its entry node for up to the lifetime of a fence.
-        return self._policy.key_lifetime_ms + self._policy.lifetime_ms
-
-    def _bury(self, at: Instant, key: str, fence: Fence, refusal: Refusal) -> Refusal:
-        final = refusal._replace(verdict=Verdict.NOT_RUN)
-        left_ms = max(0, fence.expires_ms - at.wall_ms)
-        keep_until_ms = at.now_ms + left_ms + self._policy.skew_ms
-        self._tombstones.add(key, fence, final, keep_until_ms=keep_until_ms)
-        return final
-
-    def _end(self, at: Instant, key: str, state: RunState) -> RunRecord:
-        record = self._runs.get(key)
-        if record is None or record.state is not RunState.DISPATCHED:
-            raise ValueError(f"key {key!r} is not dispatched; call dispatched first")
-        left_ms = record.fence.expires_ms - at.wall_ms
-        kept_ms = max(left_ms, self._kept_ms()) + self._policy.skew_ms
-        self._runs.end(record, state, keep_until_ms=at.now_ms + kept_ms)
-        return record
-
-    def _expire(self, at: Instant) -> None:
-        self._runs.expire(at.now_ms)
-        self._tombstones.expire(at.now_ms)
-        self._promises.expire(at.now_ms)
-
     def _is_ours(self, fence: Fence) -> bool:
         return fence.host == self._host and fence.incarnation == self._incarnation
--- a/src/jacinthshed/internal/fence/refusals.py
+++ b/src/jacinthshed/internal/fence/refusals.py
@@ -26,6 +26,10 @@
 EXPIRED = may_have_run(
     Reason.FENCE_EXPIRED, "the fence has expired; resend without a fence"
 )
+EARLY = may_have_run(
+    Reason.FENCE_EXPIRED,
+    "the fence is from the future; check this host's clock and its minter's",
+)
 SUPERSEDED = may_have_run(
     Reason.FENCE_EXPIRED, "a later resend revoked the fence; resend without a fence"
 )
--- a/tests/cover/test_fence_memo.py
+++ b/tests/cover/test_fence_memo.py
@@ -5,6 +5,7 @@
 
 from jacinthshed.internal.bundle.model import FencePolicy
 from jacinthshed.internal.fence.decisions import Answered, Cancelled, Dead, Join, Run
+from jacinthshed.internal.fence.fence import encode_fence
 from jacinthshed.internal.verdict import Reason, Verdict
 from jacinthshed.internal.wire.frames import Revoke
 
@@ -15,6 +16,7 @@
     SHED,
     answer,
     instant,
+    make_fence,
     make_memo,
     make_token,
 )
@@ -197,6 +199,26 @@
     assert memo.submit(at, "young", younger, "r") == Run()
 
 
+@given(ahead_ms=st.integers(POLICY.skew_ms + 1, 10 * KEPT_MS))
+def test_fence_from_the_future_starts_nothing_and_kills_no_other(ahead_ms):
+    memo = make_memo(max_entries=1)
+    at = instant(NOW_MS)
+    early = make_token(NOW_MS + ahead_ms)
+    assert _verdict(memo.submit(at, "early", early, "r")) is Verdict.MAY_HAVE_RUN
+    for number in range(3):
+        memo.cancel(at, f"k{number}", make_token(NOW_MS + ahead_ms))
+    assert memo.submit(at, "key", make_token(NOW_MS), "r") == Run()
+
+
+def test_fence_that_claims_a_long_life_is_kept_no_longer_than_a_key():
+    memo = make_memo()
+    long = make_fence(NOW_MS)._replace(expires_ms=EPOCH_MS * 2)
+    memo.cancel(instant(NOW_MS), "key", encode_fence(long))
+    assert memo.sizes["tombstones"] == 1
+    memo.cancel(instant(NOW_MS + KEPT_MS), "other", "noise")
+    assert memo.sizes["tombstones"] == 0
+
+
 @given(ballots=st.permutations([1, 2, 3]), asked=st.integers(1, 3))
 def test_only_the_highest_promised_ballot_runs(ballots, asked):
     memo = make_memo()
--- a/tests/cover/test_fence_revocation.py
+++ b/tests/cover/test_fence_revocation.py
@@ -153,9 +153,9 @@
 )
 def test_sleeper_starts_again_only_if_its_clock_lags_by_its_sleep(lag_ms, starts):
     fleet = _fleet("ab")
-    fleet.targets["b"].skew_ms = -lag_ms
     fleet.call("key", "x", "own", 1)
     fleet.deliver_all()
+    fleet.targets["b"].skew_ms = -lag_ms
     fleet.leave("b")
     fleet.now_ms += 2 * KEPT_MS
     fleet.hear("y")
