--- a/tests/cover/test_fence_memo.py
+++ b/tests/cover/test_fence_memo.py
@@ -151,14 +151,13 @@
     at = instant(NOW_MS)
     tokens = {f"k{number}": make_token(NOW_MS) for number in range(3)}
     _run(memo, "k0", tokens["k0"])
-    _run(memo, "k1", tokens["k1"])
+    memo.submit(at, "k1", tokens["k1"], "r")
     refusal = memo.submit(at, "k2", tokens["k2"], "r").refusal
     assert (refusal.verdict, refusal.reason) == (Verdict.NOT_RUN, Reason.SHED)
-    memo.failed(at, "k0")
-    much_later = instant(NOW_MS + 2 * KEPT_MS)
-    for key in ("k0", "k2"):
-        decision = memo.submit(much_later, key, tokens[key], "copy")
-        assert isinstance(decision, Dead)
+    memo.refused(at, "k1", tokens["k1"], SHED)
+    assert memo.submit(at, "k0", tokens["k0"], "copy") == Join("first")
+    for key in ("k1", "k2"):
+        assert _verdict(memo.submit(at, key, tokens[key], "copy")) is Verdict.NOT_RUN
 
 
 @given(sizes=st.lists(st.integers(0, 1_200), min_size=1, max_size=8))
@@ -239,6 +238,17 @@
     assert memo.revoke(late, Revoke("r", "key", ballot)).outcome == "superseded"
 
 
+@given(age_ms=st.integers(0, 3 * KEPT_MS), list_age_ms=st.integers(0, 3 * KEPT_MS))
+def test_target_vouches_for_what_it_kept_and_for_the_targets_it_knows(
+    age_ms, list_age_ms
+):
+    memo = make_memo(started_ms=NOW_MS)
+    at_ms = NOW_MS + age_ms
+    revoke = Revoke("r", "key", _ballot(at_ms))
+    revoked = memo.revoke(instant(at_ms), revoke, list_age_ms=list_age_ms)
+    assert revoked.uptime_ms == min(age_ms, list_age_ms, KEPT_MS)
+
+
 def test_longer_key_lifetime_is_vouched_for_only_from_its_change_on():
     memo = make_memo()
     at = instant(10 * KEPT_MS)
