--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -17,19 +17,13 @@
 from ..wire.frames import Cancel, Reply, Revoke, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
 from .arrival_check import ArrivalCheck
-from .backend_outcome import (
-    BackendAnswer,
-    BackendFailure,
-    BackendResult,
-    FailureCause,
-    admission_outcome,
-    refusal_from,
-)
-from .context import ContextRegistry, ParentContext
+from .backend_outcome import BackendResult, admission_outcome
+from .conclusion import conclude
+from .context import ContextRegistry, parent_context
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
-from .replies import addressed, answer_reply, refusal_reply
+from .replies import addressed, refusal_reply
 
 
 class Target:
@@ -38,7 +32,7 @@
     Every method that takes a moment ``at`` returns what has to be done at that moment.
     ``fold_level`` combines this target's shed level with those of the services that a
     route calls. ``list_age_ms`` is the time since a target of this service came or
-    went.
+    went. ``log`` takes an event and its fields.
     """
 
     def __init__(
@@ -54,6 +48,7 @@
         check: ArrivalCheck,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
         list_age_ms: Callable[[Instant], float],
+        log: Callable[..., None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
@@ -65,6 +60,7 @@
         self._check = check
         self._fold_level = fold_level
         self._list_age_ms = list_age_ms
+        self._log = log
         self._jobs = JobTable()
         self._nested_ms: dict[str, float] = {}
 
@@ -79,7 +75,7 @@
         if known is not None:
             join(known, link, submit)
             return []
-        mark = fingerprint(submit.route, submit.body)
+        mark = _mark(submit)
         if submit.fence:
             # The memo comes before every other check, as a copy of a request that
             # is running has to find it even when new work is refused.
@@ -98,7 +94,7 @@
         job = self._jobs.get(ticket)
         if job is None:
             return []
-        reply = self._conclude(at, job, result)
+        reply = conclude(at, job, result, memo=self._memo, suspects=self._suspects)
         decisions = self._finish(at, job, admission_outcome(result))
         actions = self._reply_all(at, job, reply)
         return actions + self._apply(at, decisions)
@@ -177,6 +173,8 @@
             deadline_at_ms=job.deadline_at_ms,
         )
         decisions = self._admission.offer(at.now_ms, work, submit.route)
+        if not any(decision.ticket == job.ticket for decision in decisions):
+            self._log_admission("queued", submit)
         return self._apply(at, decisions)
 
     def _apply(self, at: Instant, decisions: list[Decision]) -> list[TargetAction]:
@@ -212,51 +210,14 @@
     def _start(self, at: Instant, job: Job) -> Dispatch:
         submit = job.submit
         job.started_at_ms = at.now_ms
+        self._log_admission("started", submit)
         if submit.fence:
             self._memo.dispatched(submit.key)
         self._suspects.started(job.fingerprint)
         self._ledger.open(submit.request_id, submit.allowance)
-        self._contexts.open(
-            ParentContext(
-                request_id=submit.request_id,
-                root_id=submit.root_id,
-                root_hash=submit.root_hash,
-                rank=submit.rank,
-                route=submit.route,
-                deadline_at_ms=job.deadline_at_ms,
-                invested=submit.invested,
-                key=submit.key,
-            )
-        )
+        self._contexts.open(parent_context(submit, job.deadline_at_ms))
         return Dispatch(job.ticket, submit, job.deadline_at_ms - at.now_ms)
 
-    def _conclude(self, at: Instant, job: Job, result: BackendResult) -> Reply:
-        submit = job.submit
-        refusal = self._refusal_from(result, job.fingerprint)
-        if refusal is None:
-            assert isinstance(result, BackendAnswer)
-            reply = answer_reply(submit.request_id, result)
-            self._suspects.succeeded(at.now_ms, job.fingerprint)
-            if submit.fence:
-                self._memo.answered(at, submit.key, reply)
-            return reply
-        if not job.accused:
-            self._suspects.stopped(job.fingerprint)
-        if submit.fence and refusal.verdict is Verdict.NOT_RUN:
-            refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
-        elif submit.fence:
-            self._memo.failed(at, submit.key)
-        return refusal_reply(submit.request_id, refusal)
-
-    def _refusal_from(self, result: BackendResult, mark: int) -> Refusal | None:
-        refusal = refusal_from(result)
-        if refusal is None or not isinstance(result, BackendFailure):
-            return refusal
-        crashed = result.cause is FailureCause.CRASHED
-        if crashed and not self._suspects.may_retry(mark):
-            return refusal._replace(reason=Reason.CRASHED)
-        return refusal
-
     def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
         started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
         nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
@@ -289,6 +250,7 @@
         self, at: Instant, job: Job, refusal: Refusal
     ) -> list[TargetAction]:
         submit = job.submit
+        self._log_admission("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         return self._reply_all(at, job, refusal_reply(submit.request_id, refusal))
@@ -296,6 +258,7 @@
     def _refuse_arrival(
         self, at: Instant, link: int, submit: Submit, refusal: Refusal
     ) -> Send:
+        self._log_admission("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         reply = refusal_reply(submit.request_id, refusal)
@@ -329,6 +292,27 @@
         self._forget(job)
         return []
 
+    def _log_admission(
+        self, outcome: str, submit: Submit, refusal: Refusal | None = None
+    ) -> None:
+        self._log(
+            "admission",
+            request_id=submit.request_id.partition(".")[0],
+            route=submit.route,
+            rank=submit.rank,
+            outcome=outcome,
+            reason="" if refusal is None else refusal.reason,
+        )
+
     def _forget(self, job: Job) -> None:
         self._jobs.remove(job)
         self._nested_ms.pop(job.submit.request_id, None)
+
+
+def _mark(submit: Submit) -> int:
+    return fingerprint(
+        route=submit.route,
+        method=submit.method,
+        target=submit.target,
+        body=submit.body,
+    )
--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -6,8 +6,8 @@
 import trio
 
 from .errors import BadResponseError
-from .exchange import ClientConnection, Informational
-from .message import Request
+from .exchange import ClientConnection
+from .message import Informational, Request
 from .network import Connect
 from .outcome import ExchangeFailed, Outcome
 
@@ -34,7 +34,7 @@
         self._address = address
         self._connect_timeout_s = connect_timeout_ms / _MS_PER_S
         self._idle_s = idle_ms / _MS_PER_S
-        self._free = trio.Semaphore(max_connections)
+        self._free = trio.CapacityLimiter(max_connections)
         self._idle: deque[ClientConnection] = deque()
         self._closed = False
 
@@ -56,6 +56,10 @@
             return await self._attempt(attempt, request, max_body_bytes, informational)
         return ExchangeFailed(attempt.sent, "timeout")
 
+    def resize(self, max_connections: int) -> None:
+        """Follow a new bound; connections above it end with their exchange."""
+        self._free.total_tokens = max_connections
+
     async def close(self) -> None:
         """Close the idle connections; those in use close when their exchange ends."""
         self._closed = True
@@ -69,14 +73,23 @@
         max_body_bytes: int,
         informational: Informational | None,
     ) -> Outcome:
-        async with self._free:
-            try:
-                attempt.connection = await self._take_connection()
-            except _ConnectError as error:
-                return ExchangeFailed(False, str(error))
+        await self._wait_for_turn(attempt)
+        try:
+            attempt.connection = await self._take_connection()
             return await self._exchange(
                 attempt.connection, request, max_body_bytes, informational
             )
+        except _ConnectError as error:
+            return ExchangeFailed(False, str(error))
+        finally:
+            self._free.release_on_behalf_of(attempt)
+
+    async def _wait_for_turn(self, attempt: "_Attempt") -> None:
+        try:
+            # Saves the turn of the scheduler that an acquire costs when all is free.
+            self._free.acquire_on_behalf_of_nowait(attempt)
+        except trio.WouldBlock:
+            await self._free.acquire_on_behalf_of(attempt)
 
     async def _exchange(
         self,
@@ -92,7 +105,9 @@
         except BadResponseError as error:
             return ExchangeFailed(connection.sent, str(error))
         except h11.LocalProtocolError as error:
-            return ExchangeFailed(False, f"the request can't be written: {error}")
+            text = f"the request can't be written: {error}"
+            sent = connection.sent
+            return ExchangeFailed(sent, text, unwritable=not sent)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return ExchangeFailed(connection.sent, "the connection broke")
         finally:
--- a/src/jacinthshed/internal/http/message.py
+++ b/src/jacinthshed/internal/http/message.py
@@ -1,6 +1,6 @@
 """HTTP messages as they travel through a node, free of any connection's framing."""
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 Header = tuple[bytes, bytes]
@@ -8,6 +8,7 @@
 
 CONTENT_LENGTH = b"content-length"
 CONNECTION = b"connection"
+TRANSFER_ENCODING = b"transfer-encoding"
 PROBLEM_JSON = b"application/problem+json"
 
 # Fields that concern one connection only. Length fields are among them because a
@@ -23,7 +24,7 @@
         b"proxy-connection",
         b"te",
         b"trailer",
-        b"transfer-encoding",
+        TRANSFER_ENCODING,
         b"upgrade",
     )
 )
@@ -49,6 +50,10 @@
     body: bytes = b""
 
 
+# Takes an interim response, to be passed on before the final one.
+Informational = Callable[[Response], Awaitable[None]]
+
+
 def header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of the field with the lower-case ``name``."""
     for field, value in headers:
@@ -57,22 +62,21 @@
     return None
 
 
-def without_connection_fields(headers: Iterable[Header]) -> Headers:
+def without_connection_fields(headers: Headers) -> Headers:
     """Return ``headers`` less those that concern one connection only.
 
     These are the fixed ones and those that a ``Connection`` field names.
     """
-    fields = tuple(headers)
-    kept = tuple(field for field in fields if field[0] not in _CONNECTION_FIELDS)
-    named = _named_by_connection(fields)
+    kept = tuple([field for field in headers if field[0] not in _CONNECTION_FIELDS])
+    if len(kept) == len(headers):
+        return kept
+    named = _named_by_connection(headers)
     if not named:
         return kept
     return tuple(field for field in kept if field[0] not in named)
 
 
 def _named_by_connection(headers: Headers) -> frozenset[bytes]:
-    if header(headers, CONNECTION) is None:
-        return frozenset()
     return frozenset(
         token.strip().lower()
         for name, value in headers
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -17,6 +17,9 @@
 # News that arrive within this time of each other are told on together.
 FORWARD_GAP_MS = 100.0
 MAX_SUSPECTS = 16
+# An answer to another digest brings at least the changes of this time: after a burst
+# they are more than one frame holds.
+RECENT_MS = 30_000.0
 EXPIRY_INTERVAL_MS = 60_000.0
 JITTER = 0.2
 
@@ -72,6 +75,11 @@
         self.is_joined = False
         self._rumors.add([view.self_record])
 
+    def set_policy(self, policy: MembershipPolicy) -> None:
+        """Go by the times of ``policy`` from now on."""
+        self._policy = policy
+        self._reconciliation.quiet_ms = policy.gossip_interval_ms
+
     def tick(self, now_ms: float) -> Outbox:
         """Return what is due to be sent; call it about every ``FORWARD_GAP_MS``."""
         if now_ms >= self._next_expiry_ms:
@@ -112,6 +120,8 @@
             return []
         want_all = not self.is_joined or self._reconciliation.asks_all(now_ms)
         records = self._rumors.take(self._view, 1)
+        if want_all:
+            records += (self._view.self_record,)
         return [(peer, self._message(records, want_all=want_all))]
 
     def _forward(self, now_ms: float, sender: str = "") -> Outbox:
@@ -141,11 +151,14 @@
             records += newer_than(self._view, gossip.records)
             if is_full(gossip.records):
                 self.is_joined = True
+                self._reconciliation.got_all(now_ms)
                 records += missing_from(self._view, gossip.records)
             elif gossip.want_all and self._reconciliation.gives_all(now_ms):
                 return [(sender, self._message(self._view.records()))]
             elif self._reconciliation.differed(now_ms, self._view):
-                records += self._view.recent(MAX_RECORDS)
+                since_ms = now_ms - RECENT_MS
+                records += self._view.recent(MAX_RECORDS - 1, since_ms)
+                records.append(self._view.self_record)
                 must_answer = True
         return self._answers(sender, records, must_answer)
 
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -20,10 +20,10 @@
     Ready,
     Replied,
     Step,
-    TakeBack,
     TimedOut,
 )
-from ..wire.frames import Frame, Reply, Revoke, Revoked
+from ..wire.frames import Cancel, Frame, Reply, Revoke, Revoked
+from .caller_port import CallerPort
 from .clock import MS_PER_S
 from .link import Channel, LinkEvent, give_up_exchange
 from .links import LinkTable
@@ -33,7 +33,7 @@
 REPLY_GRACE_MS = 50.0
 ASK_TIMEOUT_MS = 500.0
 
-AnnounceFence = Callable[[str], Awaitable[None]]
+ALIVE_INTERVAL_MS = 150.0
 
 
 async def drive(
@@ -41,7 +41,7 @@
     call: Call,
     *,
     links: LinkTable,
-    announce: AnnounceFence,
+    port: CallerPort,
     observer: ExchangeObserver,
 ) -> CallEnd:
     """Run ``flow`` to its end.
@@ -57,7 +57,7 @@
         except StopIteration as stop:
             return stop.value
         with trio.CancelScope(deadline=deadline_s) as scope:
-            event = await _perform(step, links, announce, observer)
+            event = await _perform(step, links, port, observer)
         if scope.cancelled_caught:
             event = TimedOut()
 
@@ -65,24 +65,19 @@
 async def _perform(
     step: Step,
     links: LinkTable,
-    announce: AnnounceFence,
+    port: CallerPort,
     observer: ExchangeObserver,
 ) -> Event:
     if isinstance(step, Exchange):
-        return await _exchange(step, links, observer)
+        return await _exchange(step, links, port, observer)
     if isinstance(step, Ready):
         return await _ready(step, links)
     if isinstance(step, Announce):
-        await announce(step.fence)
+        await port.announce(step.fence)
         return Done()
     if isinstance(step, Pause):
         await trio.sleep(step.wait_ms / MS_PER_S)
         return Done()
-    if isinstance(step, TakeBack):
-        channel = links.to(step.host)
-        if channel is not None:
-            channel.send(step.cancel)
-        return Done()
     return await _ask_all(step, links)
 
 
@@ -94,7 +89,7 @@
 
 
 async def _exchange(
-    step: Exchange, links: LinkTable, observer: ExchangeObserver
+    step: Exchange, links: LinkTable, port: CallerPort, observer: ExchangeObserver
 ) -> Event:
     channel = links.to(step.host) or await links.open(step.host)
     if channel is None:
@@ -102,7 +97,11 @@
     frame: LinkEvent = None
     observer.sent(step.host)
     try:
-        frame = await _ask(channel, step.submit.request_id, step.submit)
+        frame = await _ask(channel, step.submit.request_id, step.submit, port.alive)
+    except trio.Cancelled:
+        if not step.submit.fence:
+            channel.send(Cancel(step.submit.request_id, "", ""))
+        raise
     finally:
         observer.ended(step.host, frame if isinstance(frame, Reply) else None)
     return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
@@ -124,11 +123,20 @@
     return AllAsked(tuple(answers.items()))
 
 
-async def _ask(channel: Channel, request_id: str, frame: Frame) -> LinkEvent:
+async def _ask(
+    channel: Channel,
+    request_id: str,
+    frame: Frame,
+    alive: Callable[[], Awaitable[None]] | None = None,
+) -> LinkEvent:
     exchange: OneShot[LinkEvent] = OneShot()
     channel.exchanges[request_id] = exchange
     try:
         channel.send(frame)
+        while alive is not None:
+            with trio.move_on_after(ALIVE_INTERVAL_MS / MS_PER_S):
+                return await exchange.wait()
+            await alive()
         return await exchange.wait()
     finally:
         give_up_exchange(channel, request_id)
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -29,12 +29,15 @@
 from ..retry.allowance import AllowanceLedger
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply
+from .caller_port import CallerPort
 from .clock import Clock
 from .driver import drive
 from .links import LinkTable
 from .observer import ExchangeObserver
 
 INTERIM_STATUS = 100
+EGRESS_CALLER = "egress"
+INTERIM_HEADER = b"jacinthshed-interim"
 VERDICT_HEADER = b"jacinthshed-verdict"
 REQUEST_HEADER = b"jacinthshed-request"
 REQUEST_ID_BITS = 64
@@ -61,6 +64,7 @@
         links: LinkTable,
         tools: CallTools,
         is_leaving: Callable[[], bool],
+        confirmed: Callable[[], Awaitable[None]],
         on_nested_done: Callable[[str, float], None],
         observe: Callable[[Call], ExchangeObserver],
         log: LogDecision,
@@ -73,36 +77,48 @@
         self._links = links
         self._tools = tools
         self._is_leaving = is_leaving
+        self._confirmed = confirmed
         self._on_nested_done = on_nested_done
         self._observe = observe
         self._log = log
         self.in_flight = 0
 
-    async def serve_entry(self, request: Request, interim: Informational) -> Response:
-        """Answer a request from a caller; system headers on it mean nothing."""
+    async def serve_entry(
+        self, request: Request, interim: Informational, *, caller: str = ""
+    ) -> Response:
+        """Answer a request from ``caller``; a context on it means nothing."""
         if self._is_leaving():
             refusal = Refusal(Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return refusal_response(refuse_early(request.headers, refusal))
-        return await self._serve(request, interim, None)
+        return await self._serve(request, interim, None, caller)
 
     async def serve_egress(self, request: Request, interim: Informational) -> Response:
         """Answer a call of this node's own backend server."""
         context = header(request.headers, CONTEXT_HEADER) or b""
         parent = self._contexts.get(context.decode("ascii", "replace"))
-        return await self._serve(request, interim, parent)
+        return await self._serve(request, interim, parent, EGRESS_CALLER)
 
     async def _serve(
-        self, request: Request, interim: Informational, parent: ParentContext | None
+        self,
+        request: Request,
+        interim: Informational,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Response:
         self.in_flight += 1
         try:
-            return await self._answer(request, interim, parent)
+            return await self._answer(request, interim, parent, caller)
         finally:
             self.in_flight -= 1
 
     async def _answer(
-        self, request: Request, interim: Informational, parent: ParentContext | None
+        self,
+        request: Request,
+        interim: Informational,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Response:
+        await self._confirmed()
         policy = self._policy()
         request_id = f"{self._random.getrandbits(REQUEST_ID_BITS):016x}"
         if policy is None:
@@ -111,17 +127,23 @@
             )
             refusal = refuse_early(request.headers, refusal)
             return refusal_response(refusal, request_id=request_id)
-        arrival = self._arrival(request, request_id, parent)
+        arrival = self._arrival(request, request_id, parent, caller)
         intake = read_call(request, arrival, policy)
         if isinstance(intake, Failure):
             refusal = refuse_early(request.headers, intake.failure())
             self._log_end(request_id, "", refusal)
             return refusal_response(refusal, request_id=request_id)
-        end = await self._run(intake.unwrap(), policy, interim)
+        call = intake.unwrap().call
+        port = self._port(request, call, interim)
+        end = await self._run(intake.unwrap(), port)
         return _response(request_id, end)
 
     def _arrival(
-        self, request: Request, request_id: str, parent: ParentContext | None
+        self,
+        request: Request,
+        request_id: str,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Arrival:
         arrival = Arrival(
             request_id=request_id,
@@ -129,7 +151,7 @@
             wall_ms=self._clock.wall_ms(),
             parent=parent,
             calls_done=0,
-            caller="entry",
+            caller=caller,
         )
         if parent is None:
             return arrival
@@ -138,27 +160,22 @@
         key = nested_key(parent, given, number)
         return arrival._replace(
             calls_done=self._contexts.calls_done(parent.request_id),
-            caller="egress",
             nested_key=key,
             held_fence=self._contexts.take_fence(parent.request_id, key) or FRESH_FENCE,
         )
 
-    async def _run(
-        self, intake: Intake, policy: Policy, interim: Informational
-    ) -> CallEnd:
+    async def _run(self, intake: Intake, port: CallerPort) -> CallEnd:
         call = intake.call
         began_ms = self._clock.now_ms()
         if not call.parent_id:
-            allowance = policy.bundle.retry.allowance
-            self._ledger.open(call.ledger_id, allowance)
+            self._ledger.open(call.ledger_id, call.allowance)
         try:
             flow = choose_flow(intake, self._tools)
-            announce = self._announcer(call, interim)
             end = await drive(
                 flow,
                 call,
                 links=self._links,
-                announce=announce,
+                port=port,
                 observer=self._observe(call),
             )
         finally:
@@ -166,9 +183,7 @@
         self._note_end(call, end)
         return end
 
-    def _announcer(
-        self, call: Call, interim: Informational
-    ) -> Callable[[str], Awaitable[None]]:
+    def _port(self, request: Request, call: Call, interim: Informational) -> CallerPort:
         async def announce(fence: str) -> None:
             if call.parent_id:
                 self._contexts.keep_fence(call.parent_id, call.key, fence)
@@ -176,7 +191,11 @@
             headers = ((FENCE_HEADER, fence.encode()),)
             await interim(Response(INTERIM_STATUS, headers))
 
-        return announce
+        async def alive() -> None:
+            await interim(Response(INTERIM_STATUS))
+
+        asked = header(request.headers, INTERIM_HEADER) is not None
+        return CallerPort(announce, alive if asked else None)
 
     def _close(self, call: Call, began_ms: float) -> None:
         if call.parent_id:
@@ -187,6 +206,8 @@
     def _note_end(self, call: Call, end: CallEnd) -> None:
         if end.reply is not None and call.parent_id:
             self._contexts.add_calls_done(call.parent_id, 1 + end.reply.calls_done)
+        if end.refusal is not None and not call.parent_id:
+            self._tools.note_refusal(call, end.refusal)
         self._log_end(call.request_id, call.route, end.refusal)
 
     def _log_end(self, request_id: str, route: str, refusal: Refusal | None) -> None:
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -15,7 +15,6 @@
     RetryPolicy,
     RoutingPolicy,
 )
-from ..bundle.signing import TrustedOperators
 from ..bundle.store import BundleStore
 from ..fence.ballot import Ballots
 from ..fence.instant import Instant
@@ -29,6 +28,7 @@
 from ..membership.view import View
 from ..quarantine.suspects import Suspects
 from ..retry.allowance import AllowanceLedger
+from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
 from ..wire.frames import MemberRecord
@@ -48,6 +48,7 @@
     suspects: Suspects
     ledger: AllowanceLedger
     resends: ResendBucket
+    refused: RefusedLately
     contexts: ContextRegistry
     levels: LevelTable
     view: View
@@ -62,26 +63,19 @@
 def build_state(
     *,
     record: MemberRecord,
-    trusted: TrustedOperators,
+    store: BundleStore,
     random: Random,
     now_ms: float,
     policy: Callable[[], Policy | None],
+    log: Callable[..., None],
 ) -> NodeState:
     """Return the state of a node that has just started and knows nothing.
 
     Policies are the defaults until a bundle comes into force.
     """
-    membership = MembershipPolicy()
     suspects = Suspects(policy=QuarantinePolicy())
     admission = Admission(slots=1, queue=1, policy=AdmissionPolicy())
-    memo = FenceMemo(
-        host=record.host,
-        incarnation=record.incarnation,
-        started_ms=now_ms,
-        policy=FencePolicy(),
-        max_entries=MEMO_MAX_ENTRIES,
-        max_bytes=MEMO_MAX_BYTES,
-    )
+    memo = _build_memo(record, now_ms)
     ledger = AllowanceLedger()
     contexts = ContextRegistry()
     view = View(self_record=record)
@@ -97,34 +91,52 @@
         contexts=contexts,
         check=check,
         fold_level=_level_folder(policy, levels),
-        list_age_ms=_list_age(view),
+        list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
+        log=log,
     )
+    membership = MembershipPolicy()
     return NodeState(
         record=record,
         random=random,
-        store=BundleStore(trusted=trusted),
+        store=store,
         admission=admission,
         memo=memo,
         suspects=suspects,
         ledger=ledger,
         resends=ResendBucket(policy=RetryPolicy()),
+        refused=RefusedLately(),
         contexts=contexts,
         levels=levels,
         view=view,
         failures=FailureTracker(policy=membership),
         pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
-        picker=Picker(
-            host=record.host,
-            availability_zone=record.availability_zone,
-            policy=RoutingPolicy(),
-            random=random,
-        ),
+        picker=_build_picker(record, random),
         ballots=Ballots(host=record.host, incarnation=record.incarnation),
         check=check,
         target=target,
     )
 
 
+def _build_memo(record: MemberRecord, now_ms: float) -> FenceMemo:
+    return FenceMemo(
+        host=record.host,
+        incarnation=record.incarnation,
+        started_ms=now_ms,
+        policy=FencePolicy(),
+        max_entries=MEMO_MAX_ENTRIES,
+        max_bytes=MEMO_MAX_BYTES,
+    )
+
+
+def _build_picker(record: MemberRecord, random: Random) -> Picker:
+    return Picker(
+        host=record.host,
+        availability_zone=record.availability_zone,
+        policy=RoutingPolicy(),
+        random=random,
+    )
+
+
 def _level_folder(
     policy: Callable[[], Policy | None], levels: LevelTable
 ) -> Callable[[Instant, str, ShedLevel], ShedLevel]:
@@ -141,7 +153,3 @@
         return min(own, levels.strictest(at.now_ms, route.calls), NOTHING_SHED)
 
     return fold
-
-
-def _list_age(view: View) -> Callable[[Instant], float]:
-    return lambda at: at.now_ms - view.changed_ms
