A longer lifetime of fences, too, is vouched for only from its change on

Ended runs are kept for both lifetimes together, and only a longer key lifetime was looked at: after a bundle that raised lifetime_ms a target vouched for 55 s in place of the 6 s that it had kept (test_longer_lifetime_is_vouched_for_ only_from_its_change_on[lifetime_ms], seen with the comparison left out).

--- a/src/jacinthshed/internal/fence/records.py
+++ b/src/jacinthshed/internal/fence/records.py
@@ -46,13 +46,14 @@
     def set_policy(self, at: Instant, policy: FencePolicy) -> None:
         """Follow a new bundle.
 
-        Runs that ended earlier were kept for the old lifetime only, so a longer one is
-        complete from there on.
+        Runs that ended earlier were kept for the old span only, so under a longer one
+        the records are complete from there on.
         """
-        if policy.key_lifetime_ms > self.policy.key_lifetime_ms:
-            kept_since_ms = at.now_ms - self._kept_ms()
-            self.complete_since_ms = max(self.complete_since_ms, kept_since_ms)
+        old_kept_ms = self._kept_ms()
         self.policy = policy
+        if self._kept_ms() > old_kept_ms:
+            kept_since_ms = at.now_ms - old_kept_ms
+            self.complete_since_ms = max(self.complete_since_ms, kept_since_ms)
 
     def complete_ms(self, at: Instant) -> float:
         """Return for how long nothing is missing."""
--- a/tests/cover/test_fence_memo.py
+++ b/tests/cover/test_fence_memo.py
@@ -1,9 +1,9 @@
 """What one target decides about copies of a request."""
 
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 
-from jacinthshed.internal.bundle.model import FencePolicy
 from jacinthshed.internal.fence.decisions import Answered, Cancelled, Dead, Join, Run
 from jacinthshed.internal.fence.fence import encode_fence
 from jacinthshed.internal.verdict import Reason, Verdict
@@ -250,10 +250,10 @@
     assert revoked.uptime_ms == min(age_ms, list_age_ms, KEPT_MS)
 
 
-def test_longer_key_lifetime_is_vouched_for_only_from_its_change_on():
+@pytest.mark.parametrize("longer", ["lifetime_ms", "key_lifetime_ms"])
+def test_longer_lifetime_is_vouched_for_only_from_its_change_on(longer):
     memo = make_memo()
     at = instant(10 * KEPT_MS)
-    longer = FencePolicy(lifetime_ms=1_000, skew_ms=100, key_lifetime_ms=50_000)
-    memo.set_policy(at, longer)
+    memo.set_policy(at, msgspec.structs.replace(POLICY, **{longer: 50_000}))
     revoked = memo.revoke(at, Revoke("r", "key", _ballot(10 * KEPT_MS)))
     assert revoked.uptime_ms == KEPT_MS
