--- a/tests/cover/test_fence_memo.py
+++ b/tests/cover/test_fence_memo.py
@@ -1,10 +1,11 @@
 """What one target decides about copies of a request."""
 
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 
-from jacinthshed.internal.bundle.model import FencePolicy
 from jacinthshed.internal.fence.decisions import Answered, Cancelled, Dead, Join, Run
+from jacinthshed.internal.fence.fence import encode_fence
 from jacinthshed.internal.verdict import Reason, Verdict
 from jacinthshed.internal.wire.frames import Revoke
 
@@ -15,6 +16,7 @@
     SHED,
     answer,
     instant,
+    make_fence,
     make_memo,
     make_token,
 )
@@ -54,14 +56,15 @@
         assert isinstance(memo.submit(late, "key", token, "copy"), Dead)
 
 
-@given(later_ms=LATER_MS, back_ms=st.integers(0, 3 * KEPT_MS))
-def test_started_key_never_starts_again(later_ms, back_ms):
+@given(later_ms=LATER_MS, shown_ms=st.integers(0, 2 * KEPT_MS) | st.just(0))
+def test_started_key_never_starts_again(later_ms, shown_ms):
     memo = make_memo()
     token = make_token(NOW_MS)
     _run(memo, "key", token)
     memo.answered(instant(NOW_MS), "key", answer("first", b"done"))
     for copy_ms in (later_ms, 2 * KEPT_MS):
-        at = instant(NOW_MS + copy_ms, skew_ms=-back_ms)
+        # The wall clock may have stepped to any time at which the fence looked young.
+        at = instant(NOW_MS + copy_ms, skew_ms=shown_ms - copy_ms)
         decision = memo.submit(at, "key", token, "copy")
         assert not isinstance(decision, Run)
         assert isinstance(decision, Answered) or (
@@ -149,14 +152,13 @@
     at = instant(NOW_MS)
     tokens = {f"k{number}": make_token(NOW_MS) for number in range(3)}
     _run(memo, "k0", tokens["k0"])
-    _run(memo, "k1", tokens["k1"])
+    memo.submit(at, "k1", tokens["k1"], "r")
     refusal = memo.submit(at, "k2", tokens["k2"], "r").refusal
     assert (refusal.verdict, refusal.reason) == (Verdict.NOT_RUN, Reason.SHED)
-    memo.failed(at, "k0")
-    much_later = instant(NOW_MS + 2 * KEPT_MS)
-    for key in ("k0", "k2"):
-        decision = memo.submit(much_later, key, tokens[key], "copy")
-        assert isinstance(decision, Dead)
+    memo.refused(at, "k1", tokens["k1"], SHED)
+    assert memo.submit(at, "k0", tokens["k0"], "copy") == Join("first")
+    for key in ("k1", "k2"):
+        assert _verdict(memo.submit(at, key, tokens[key], "copy")) is Verdict.NOT_RUN
 
 
 @given(sizes=st.lists(st.integers(0, 1_200), min_size=1, max_size=8))
@@ -197,6 +199,26 @@
     assert memo.submit(at, "young", younger, "r") == Run()
 
 
+@given(ahead_ms=st.integers(POLICY.skew_ms + 1, 10 * KEPT_MS))
+def test_fence_from_the_future_starts_nothing_and_kills_no_other(ahead_ms):
+    memo = make_memo(max_entries=1)
+    at = instant(NOW_MS)
+    early = make_token(NOW_MS + ahead_ms)
+    assert _verdict(memo.submit(at, "early", early, "r")) is Verdict.MAY_HAVE_RUN
+    for number in range(3):
+        memo.cancel(at, f"k{number}", make_token(NOW_MS + ahead_ms))
+    assert memo.submit(at, "key", make_token(NOW_MS), "r") == Run()
+
+
+def test_fence_that_claims_a_long_life_is_kept_no_longer_than_a_key():
+    memo = make_memo()
+    long = make_fence(NOW_MS)._replace(expires_ms=EPOCH_MS * 2)
+    memo.cancel(instant(NOW_MS), "key", encode_fence(long))
+    assert memo.sizes["tombstones"] == 1
+    memo.cancel(instant(NOW_MS + KEPT_MS), "other", "noise")
+    assert memo.sizes["tombstones"] == 0
+
+
 @given(ballots=st.permutations([1, 2, 3]), asked=st.integers(1, 3))
 def test_only_the_highest_promised_ballot_runs(ballots, asked):
     memo = make_memo()
@@ -217,10 +239,21 @@
     assert memo.revoke(late, Revoke("r", "key", ballot)).outcome == "superseded"
 
 
-def test_longer_key_lifetime_is_vouched_for_only_from_its_change_on():
+@given(age_ms=st.integers(0, 3 * KEPT_MS), list_age_ms=st.integers(0, 3 * KEPT_MS))
+def test_target_vouches_for_what_it_kept_and_for_the_targets_it_knows(
+    age_ms, list_age_ms
+):
+    memo = make_memo(started_ms=NOW_MS)
+    at_ms = NOW_MS + age_ms
+    revoke = Revoke("r", "key", _ballot(at_ms))
+    revoked = memo.revoke(instant(at_ms), revoke, list_age_ms=list_age_ms)
+    assert revoked.uptime_ms == min(age_ms, list_age_ms, KEPT_MS)
+
+
+@pytest.mark.parametrize("longer", ["lifetime_ms", "key_lifetime_ms"])
+def test_longer_lifetime_is_vouched_for_only_from_its_change_on(longer):
     memo = make_memo()
     at = instant(10 * KEPT_MS)
-    longer = FencePolicy(lifetime_ms=1_000, skew_ms=100, key_lifetime_ms=50_000)
-    memo.set_policy(at, longer)
+    memo.set_policy(at, msgspec.structs.replace(POLICY, **{longer: 50_000}))
     revoked = memo.revoke(at, Revoke("r", "key", _ballot(10 * KEPT_MS)))
     assert revoked.uptime_ms == KEPT_MS
