--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -11,12 +11,11 @@
 from .drain import Drain
 from .errors import BadRequestError
 from .limits import HttpLimits
-from .message import Request, Response
+from .message import Informational, Request, Response
 from .problem import malformed_response, refusal_response
 from .request_reader import IncomingRequest, RequestReader
 from .response_writer import encode_interim, encode_last, encode_response
 
-Informational = Callable[[Response], Awaitable[None]]
 RequestHandler = Callable[[Request, Informational], Awaitable[Response]]
 
 _MS_PER_S = 1_000
@@ -141,10 +140,13 @@
         Closing while received bytes are unread makes the kernel reset the connection,
         and the client would lose the refusal.
         """
+        verdict = Verdict.NOT_RUN
+        if self._reader.may_be_resend:
+            # This copy did not run. An earlier one may have.
+            verdict = Verdict.MAY_HAVE_RUN
+        response = malformed_response(error.status, error.detail, verdict)
         with trio.move_on_after(_LINGER_S):
-            await self._stream.send_all(
-                encode_last(malformed_response(error.status, error.detail))
-            )
+            await self._stream.send_all(encode_last(response))
             if isinstance(self._stream, trio.abc.HalfCloseableStream):
                 await self._stream.send_eof()
             received = 0
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -27,12 +27,12 @@
         # Ordered from the least to the most recently changed record.
         self._records: dict[str, MemberRecord] = {}
         self._changed_ms: dict[str, float] = {}
-        self._service_changed_ms: dict[str, float] = {}
         self._gone_at_ms: dict[str, float] = {}
         self._host_list = HostList()
         self._index = ServiceIndex()
         self._departures = Departures()
         self._digest = 0
+        self._targets_changed_ms: dict[str, float] = {}
         self.changed_ms = -inf
         self.version = 0
         self._hosts: tuple[str, ...] = ()
@@ -84,9 +84,9 @@
         """Return the names of services that have or had members."""
         return self._index.services()
 
-    def changed_ago_ms(self, service: str, now_ms: float) -> float:
-        """Return how long ago a target of ``service`` last came, changed or went."""
-        return now_ms - self._service_changed_ms.get(service, -inf)
+    def targets_changed_ms(self, service: str) -> float:
+        """Return when a target of ``service`` last came, left or restarted."""
+        return self._targets_changed_ms.get(service, -inf)
 
     def departed(
         self, service: str, within_ms: float, now_ms: float
@@ -241,7 +241,6 @@
             self._take_out(now_ms, old, record)
         self._records[record.host] = record
         self._changed_ms[record.host] = now_ms
-        self._service_changed_ms[record.service] = now_ms
         if record.state != GONE:
             self._digest ^= record_hash(record)
         if record.state == LIVE:
@@ -253,6 +252,11 @@
         if self._host_list.is_hinted(record.host):
             self._follow_hints()
         self.changed_ms = now_ms
+        if old is None or (old.incarnation, old.state) != (
+            record.incarnation,
+            record.state,
+        ):
+            self._targets_changed_ms[record.service] = now_ms
         self.version += 1
 
     def _take_out(self, now_ms: float, old: MemberRecord, new: MemberRecord) -> None:
