--- a/benchmarks/measures/target.py
+++ b/benchmarks/measures/target.py
@@ -13,6 +13,7 @@
 from .model import Attempt, Hop, Reply
 
 FAR_MS = 1e12
+BELOW = "below"
 
 
 class Job:
@@ -64,6 +65,9 @@
             hop.deadline_at_ms if stack.queue_deadlines else FAR_MS,
         )
         self.node.ledger.open(attempt.id, attempt.allowance)
+        if not hop.is_last and self.node.is_shed(hop, hop.below):
+            self._answer(self._jobs.pop(ticket), False, "level")
+            return
         self._take(self._gate.offer(self.world.clock.now_ms, work, hop.name))
 
     def _take(self, decisions) -> None:
@@ -90,6 +94,7 @@
         job.started_ms = self.world.clock.now_ms
         own_ms = self.world.own_ms(self.service)
         job.attempt.hop.root.work_ms += own_ms
+        job.attempt.hop.started = True
         self.world.clock.after(own_ms, self._after_own_work, ticket)
 
     def _after_own_work(self, ticket: int) -> None:
@@ -124,9 +129,7 @@
         decisions = self._gate.finish(
             now_ms, ticket, latency_ms, outcome, job.nested_ms
         )
-        self._answer(
-            job, ok, reason and f"below:{reason}".replace("below:below", "below")
-        )
+        self._answer(job, ok, BELOW if reason else "")
         self._take(decisions)
 
     def _answer(self, job: Job, ok: bool, reason: str) -> None:
@@ -136,8 +139,8 @@
         hop = job.attempt.hop
         level = self._gate.level(now_ms)
         if not hop.is_last:
-            below = ">".join(hop.root.path[hop.depth + 1 :])
-            level = stricter(level, self.node.levels.strictest(now_ms, (below,)))
+            below = self.node.levels.strictest(now_ms, (hop.below,))
+            level = stricter(level, below)
         reply = Reply(
             ok,
             str(reason),
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -27,12 +27,12 @@
         # Ordered from the least to the most recently changed record.
         self._records: dict[str, MemberRecord] = {}
         self._changed_ms: dict[str, float] = {}
+        self._service_changed_ms: dict[str, float] = {}
         self._gone_at_ms: dict[str, float] = {}
         self._host_list = HostList()
         self._index = ServiceIndex()
         self._departures = Departures()
         self._digest = 0
-        self._targets_changed_ms: dict[str, float] = {}
         self.changed_ms = -inf
         self.version = 0
         self._hosts: tuple[str, ...] = ()
@@ -84,9 +84,9 @@
         """Return the names of services that have or had members."""
         return self._index.services()
 
-    def targets_changed_ms(self, service: str) -> float:
-        """Return when a target of ``service`` last came, left or restarted."""
-        return self._targets_changed_ms.get(service, -inf)
+    def changed_ago_ms(self, service: str, now_ms: float) -> float:
+        """Return how long ago a target of ``service`` last came, left or restarted."""
+        return now_ms - self._service_changed_ms.get(service, -inf)
 
     def departed(
         self, service: str, within_ms: float, now_ms: float
@@ -256,7 +256,7 @@
             record.incarnation,
             record.state,
         ):
-            self._targets_changed_ms[record.service] = now_ms
+            self._service_changed_ms[record.service] = now_ms
         self.version += 1
 
     def _take_out(self, now_ms: float, old: MemberRecord, new: MemberRecord) -> None:
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -28,6 +28,7 @@
 from ..membership.view import View
 from ..quarantine.suspects import Suspects
 from ..retry.allowance import AllowanceLedger
+from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
 from ..wire.frames import MemberRecord
@@ -47,6 +48,7 @@
     suspects: Suspects
     ledger: AllowanceLedger
     resends: ResendBucket
+    refused: RefusedLately
     contexts: ContextRegistry
     levels: LevelTable
     view: View
@@ -89,7 +91,7 @@
         contexts=contexts,
         check=check,
         fold_level=_level_folder(policy, levels),
-        list_age_ms=lambda at: at.now_ms - view.targets_changed_ms(record.service),
+        list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         log=log,
     )
     membership = MembershipPolicy()
@@ -102,6 +104,7 @@
         suspects=suspects,
         ledger=ledger,
         resends=ResendBucket(policy=RetryPolicy()),
+        refused=RefusedLately(),
         contexts=contexts,
         levels=levels,
         view=view,
