--- a/src/jacinthshed/internal/membership/failure.py
+++ b/src/jacinthshed/internal/membership/failure.py
@@ -60,7 +60,7 @@
         """Return hosts that may be declared gone, and forget them.
 
         With the platform's list absent no live host is declared gone, so a
-        partition alone never makes one side bury the other.
+        partition alone never makes one side declare the other gone.
         """
         gone = []
         for host, outage in list(self._outages.items()):
