--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -85,6 +85,7 @@
         self.zone = zone
         self.ip = f"10.0.0.{number}"
         self.wall_offset_ms = 0
+        self.mono_offset_ms = 0
         self.decisions = []
         self.node = None
         self.node_ended = None
@@ -165,7 +166,10 @@
             network=self.fleet.network_of(self),
             random=random.Random(f"{self.host}{trio.current_time()}"),
             log=self.log,
-            clock=Clock(trio_now_ms, lambda: virtual_wall_ms() + self.wall_offset_ms),
+            clock=Clock(
+                lambda: trio_now_ms() + self.mono_offset_ms,
+                lambda: virtual_wall_ms() + self.wall_offset_ms,
+            ),
         )
         self._node_scope = trio.CancelScope()
         self.node_ended = trio.Event()
@@ -226,10 +230,14 @@
         self.bundle = {**self.bundle, **changes}
         self.platform.put("bundle", signed(self.bundle, operator).decode())
 
+    def list_hosts(self, leaving=()):
+        """Publish the list of hosts, with the state of some as leaving."""
+        self.platform.put("hosts", self._host_list(leaving))
+
     async def start(self):
         await self.nursery.start(self._serve_platform)
         self.publish()
-        self.platform.put("hosts", self._host_list())
+        self.list_hosts()
         async with trio.open_nursery() as starting:
             for host in self.hosts.values():
                 await host.start_backend()
@@ -299,11 +307,12 @@
             task_status=task_status,
         )
 
-    def _host_list(self):
+    def _host_list(self, leaving):
         entries = [
             f'{{"host": "{host.host}", "service": "{host.service}", '
             f'"availability_zone": "{host.zone}", '
-            f'"peer_address": "{host.ip}:3", "state": "live"}}'
+            f'"peer_address": "{host.ip}:3", '
+            f'"state": "{"leaving" if host.host in leaving else "live"}"}}'
             for host in self.hosts.values()
         ]
         return f"[{', '.join(entries)}]"
