--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -181,6 +181,11 @@
 
         await self.fleet.nursery.start(run)
 
+    def jump(self, jump_ms, *, wall_ms=None):
+        """Let this host's clocks jump, as when its process did not run."""
+        self.mono_offset_ms += jump_ms
+        self.wall_offset_ms += jump_ms if wall_ms is None else wall_ms
+
     def kill_node(self):
         """End the node at once, with all that it knew."""
         self._node_scope.cancel()
@@ -287,6 +292,16 @@
                     if stream.ends == ends:
                         stream.silent = True
 
+    def cut_off(self, alone):
+        """Break all connections of a host to others, and let none be opened."""
+        for other in self.hosts:
+            ends = frozenset((self.hosts[alone].ip, self.hosts[other].ip))
+            if other != alone:
+                self.cut.add(ends)
+                for stream in self.streams:
+                    if stream.ends == ends:
+                        stream.break_off()
+
     def heal(self):
         """Let new connections through again."""
         self.cut.clear()
--- a/tests/common/streams.py
+++ b/tests/common/streams.py
@@ -24,6 +24,11 @@
         incoming = self._stream.receive_stream._incoming
         return not self.silent and (incoming._closed or bool(incoming._data))
 
+    def break_off(self):
+        """Close this end at once, as a reset does."""
+        self._stream.send_stream.close()
+        self._stream.receive_stream.close()
+
     async def send_all(self, data):
         if self.silent:
             await trio.lowlevel.checkpoint()
--- a/tests/cover/test_node_scenarios.py
+++ b/tests/cover/test_node_scenarios.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 
+import pytest
 import trio
 
 from jacinthshed.internal.standin.platform_state import Mode
@@ -179,3 +180,35 @@
             assert [e for e in load.of("lit") if e.status != 200] == []
 
     run_virtual(main)
+
+
+@pytest.mark.parametrize("mono_ms, wall_ms", [(5_000, 5_000), (0, 5_000), (5_000, 0)])
+def test_a_node_that_slept_asks_a_peer_before_it_routes(mono_ms, wall_ms):
+    async def main():
+        async with (
+            running_fleet(single_layout(4), single_bundle()) as fleet,
+            trio.open_nursery() as nursery,
+        ):
+            load = Load(fleet, nursery)
+            await trio.sleep(JOIN_S)
+            slept = fleet["orders-0"]
+            fleet.cut_off("orders-0")
+            fleet["orders-2"].node.leave()
+            await fleet["orders-2"].node_ended.wait()
+            fleet.heal()
+            slept.jump(mono_ms, wall_ms=wall_ms)
+            before = len(slept.decisions)
+            for number in range(20):
+                load.send("orders-0", b"GET", b"/orders/lookup", f"look-{number}")
+            await trio.sleep(3)
+            since = slept.decisions[before:]
+            events = [entry["event"] for entry in since]
+            assert events.count("pause_noticed") == 1
+            assert events.index("pause_noticed") < events.index("routing")
+            picked = [e for e in since if e["event"] == "routing"]
+            assert len(picked) == 20
+            stale = [e for e in picked if "orders-2" in e["candidates"]]
+            assert stale == [], (len(stale), stale[:1])
+            assert {e.status for e in load.of("look")} == {200}
+
+    run_virtual(main)
