--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -85,6 +85,7 @@
         self.zone = zone
         self.ip = f"10.0.0.{number}"
         self.wall_offset_ms = 0
+        self.mono_offset_ms = 0
         self.decisions = []
         self.node = None
         self.node_ended = None
@@ -165,7 +166,10 @@
             network=self.fleet.network_of(self),
             random=random.Random(f"{self.host}{trio.current_time()}"),
             log=self.log,
-            clock=Clock(trio_now_ms, lambda: virtual_wall_ms() + self.wall_offset_ms),
+            clock=Clock(
+                lambda: trio_now_ms() + self.mono_offset_ms,
+                lambda: virtual_wall_ms() + self.wall_offset_ms,
+            ),
         )
         self._node_scope = trio.CancelScope()
         self.node_ended = trio.Event()
@@ -177,6 +181,11 @@
 
         await self.fleet.nursery.start(run)
 
+    def jump(self, jump_ms, *, wall_ms=None):
+        """Let this host's clocks jump, as when its process did not run."""
+        self.mono_offset_ms += jump_ms
+        self.wall_offset_ms += jump_ms if wall_ms is None else wall_ms
+
     def kill_node(self):
         """End the node at once, with all that it knew."""
         self._node_scope.cancel()
@@ -226,10 +235,14 @@
         self.bundle = {**self.bundle, **changes}
         self.platform.put("bundle", signed(self.bundle, operator).decode())
 
+    def list_hosts(self, leaving=()):
+        """Publish the list of hosts, with the state of some as leaving."""
+        self.platform.put("hosts", self._host_list(leaving))
+
     async def start(self):
         await self.nursery.start(self._serve_platform)
         self.publish()
-        self.platform.put("hosts", self._host_list())
+        self.list_hosts()
         async with trio.open_nursery() as starting:
             for host in self.hosts.values():
                 await host.start_backend()
@@ -283,6 +296,16 @@
                     if stream.ends == ends:
                         stream.silent = True
 
+    def cut_off(self, alone):
+        """Break all connections of a host to others, and let none be opened."""
+        for other in self.hosts:
+            ends = frozenset((self.hosts[alone].ip, self.hosts[other].ip))
+            if other != alone:
+                self.cut.add(ends)
+                for stream in self.streams:
+                    if stream.ends == ends:
+                        stream.break_off()
+
     def heal(self):
         """Let new connections through again."""
         self.cut.clear()
@@ -303,11 +326,12 @@
             task_status=task_status,
         )
 
-    def _host_list(self):
+    def _host_list(self, leaving):
         entries = [
             f'{{"host": "{host.host}", "service": "{host.service}", '
             f'"availability_zone": "{host.zone}", '
-            f'"peer_address": "{host.ip}:3", "state": "live"}}'
+            f'"peer_address": "{host.ip}:3", '
+            f'"state": "{"leaving" if host.host in leaving else "live"}"}}'
             for host in self.hosts.values()
         ]
         return f"[{', '.join(entries)}]"
