--- a/src/jacinthshed/internal/admission/levels.py
+++ b/src/jacinthshed/internal/admission/levels.py
@@ -84,6 +84,10 @@
             hosts = self._names[name] = _HostLevels()
         hosts.note(now_ms, host, level)
 
+    def set_ttl_ms(self, ttl_ms: float) -> None:
+        """Trust what is heard for ``ttl_ms`` from now on."""
+        self._ttl_ms = ttl_ms
+
     def forget(self, host: str) -> None:
         """Drop all levels of a host that has left."""
         for hosts in self._names.values():
--- a/src/jacinthshed/internal/fence/memo.py
+++ b/src/jacinthshed/internal/fence/memo.py
@@ -60,6 +60,14 @@
         """Follow a new bundle."""
         self._records.set_policy(at, policy)
 
+    def renew(self, incarnation: int) -> None:
+        """Go on under a higher incarnation; what has run is kept.
+
+        Fences of the incarnation before run no more: others took it for gone, and may
+        have told callers so.
+        """
+        self._incarnation = incarnation
+
     def submit(
         self,
         at: Instant,
--- a/src/jacinthshed/internal/flow/replies.py
+++ b/src/jacinthshed/internal/flow/replies.py
@@ -2,12 +2,15 @@
 
 import xxhash
 
+from ..bundle.model import MAX_RANK
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply
 from .backend_outcome import BackendAnswer
 from .job import Waiter
 
-NOTHING_SHED_RANK = 101
+NOTHING_SHED_RANK = MAX_RANK + 1
+_VERDICTS = frozenset(Verdict)
+_REASONS = frozenset(Reason)
 
 
 def answer_reply(request_id: str, answer: BackendAnswer) -> Reply:
@@ -66,7 +69,14 @@
 
 
 def refusal_of(reply: Reply) -> Refusal:
-    """Return the refusal inside ``reply``."""
+    """Return the refusal inside ``reply``.
+
+    A word that only a newer node knows proves nothing, and is taken for the worst.
+    """
+    is_known = reply.verdict in _VERDICTS and reply.reason in _REASONS
+    if not is_known:
+        detail = f"the target answered {reply.verdict!r}, {reply.reason!r}"
+        return Refusal(Verdict.MAY_HAVE_RUN, Reason.BACKEND_FAILED, 0, detail)
     return Refusal(
         verdict=Verdict(reply.verdict),
         reason=Reason(reply.reason),
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -64,6 +64,10 @@
         self._jobs = JobTable()
         self._nested_ms: dict[str, float] = {}
 
+    def renew(self, incarnation: int) -> None:
+        """Go on under a higher incarnation."""
+        self._incarnation = incarnation
+
     @property
     def jobs(self) -> int:
         """How many requests are queued or running."""
--- a/src/jacinthshed/internal/http/drain.py
+++ b/src/jacinthshed/internal/http/drain.py
@@ -1,5 +1,8 @@
 """Graceful end of a listener's connections."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import trio
 
 # Bytes that reached the kernel just before the drain are still read as a request.
@@ -16,6 +19,24 @@
     def __init__(self) -> None:
         self.started = False
         self._idle: set[trio.CancelScope] = set()
+        self._open = 0
+
+    @property
+    def busy(self) -> int:
+        """How many connections are not waiting for a request.
+
+        They read one, serve one, or write what belongs to one.
+        """
+        return self._open - len(self._idle)
+
+    @contextmanager
+    def connection(self) -> Iterator[None]:
+        """Count a connection for the length of the block."""
+        self._open += 1
+        try:
+            yield
+        finally:
+            self._open -= 1
 
     def start(self) -> None:
         """Close idle connections, and each other one after its current request."""
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -78,6 +78,10 @@
 
     async def serve(self) -> None:
         """Answer requests until the connection is over."""
+        with self._drain.connection():
+            await self._serve()
+
+    async def _serve(self) -> None:
         try:
             with self._scope:
                 await self._serve_all()
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -52,6 +52,7 @@
         random: Random,
         bundle_order: Callable[[], BundleOrder],
         suspects: Callable[[], Suspects] = tuple,
+        all_suspects: Callable[[], Suspects] = tuple,
         platform_age_ms: Callable[[], int] = _never,
         linked: Callable[[], Sequence[str]] = _no_hosts,
         is_reachable: Callable[[str], bool] = _always,
@@ -61,6 +62,7 @@
         self._random = random
         self._bundle_order = bundle_order
         self._suspects = suspects
+        self._all_suspects = all_suspects
         self._platform_age_ms = platform_age_ms
         self._peers = Peers(
             view=view, random=random, linked=linked, is_reachable=is_reachable
@@ -98,6 +100,8 @@
         changed = self._view.merge(now_ms, gossip.records)
         self._rumors.add(changed)
         outbox = self._answer(now_ms, sender, gossip)
+        if gossip.want_all and outbox:
+            outbox[0] = self._with_all_suspects(outbox[0])
         outbox += self._forward(now_ms, sender)
         return outbox
 
@@ -114,6 +118,11 @@
         peers = self._peers.several(REPEATS) or list(self._view.hosts()[:REPEATS])
         return [(peer, self._message((), want_all=True)) for peer in peers]
 
+    def _with_all_suspects(self, told: tuple[str, Gossip]) -> tuple[str, Gossip]:
+        """Tell a node that has just started what it did not hear as news."""
+        peer, message = told
+        return peer, message._replace(suspects=self._all_suspects())
+
     def _round(self, now_ms: float) -> Outbox:
         peer = self._peers.next_peer()
         if peer is None:
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -121,8 +121,12 @@
 
 
 def _split(around: CallSurroundings, call: Call, attempt_id: str) -> int:
-    below = len(call.services_below) > 1
-    return around.state.ledger.split(call.ledger_id, attempt_id, calls_others=below)
+    policy = around.policy()
+    route = policy.bundle.routes.get(call.route) if policy else None
+    calls_others = route is not None and bool(route.calls)
+    return around.state.ledger.split(
+        call.ledger_id, attempt_id, calls_others=calls_others
+    )
 
 
 def _may_retry(around: CallSurroundings, call: Call) -> bool:
@@ -145,7 +149,7 @@
     check = state.suspects.check(now_ms, mark)
     if isinstance(check, Quarantined):
         return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, check.retry_after_ms)
-    if not call.parent_id and not _is_within_resends(around, call, mark):
+    if not call.parent_id and not _is_within_resends(around, call):
         around.log("resend_refused", request_id=call.request_id, caller=call.caller)
         return Refusal(Verdict.NOT_RUN, Reason.RETRY_LIMIT, RESEND_WAIT_MS)
     wait_ms = state.levels.refuses(
@@ -157,12 +161,11 @@
     return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
 
 
-def _is_within_resends(around: CallSurroundings, call: Call, mark: int) -> bool:
+def _is_within_resends(around: CallSurroundings, call: Call) -> bool:
     """Return whether the caller may send this now; a fresh request always may."""
     state = around.state
     now_ms = around.clock.now_ms()
-    is_early = state.refused.is_early(now_ms, call.caller, mark)
-    if is_early or call.is_resend:
+    if call.is_resend or state.refused.is_early(now_ms, call.key):
         return state.resends.try_resend(call.caller, now_ms)
     state.resends.fresh(call.caller)
     return True
@@ -170,8 +173,7 @@
 
 def _note_refusal(around: CallSurroundings, call: Call, refusal: Refusal) -> None:
     now_ms = around.clock.now_ms()
-    retry_after_ms = refusal.retry_after_ms
-    around.state.refused.note(now_ms, call.caller, _mark(call), retry_after_ms)
+    around.state.refused.note(now_ms, call.key, refusal.retry_after_ms)
 
 
 def _mint(around: CallSurroundings, host: str, incarnation: int, ballot: str) -> Fence:
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -6,6 +6,7 @@
 from ..bundle.order import BundleOrder
 from ..fence.instant import Instant
 from ..flow.target import Target
+from ..quarantine.crash import Report
 from ..wire.frames import (
     BundleAsk,
     BundleData,
@@ -47,7 +48,7 @@
         holder: PolicyHolder,
         bundle_document: Callable[[], bytes | None],
         status: Callable[[], bytes],
-        learn_suspect: Callable[[tuple[int, str, str, int]], None],
+        learn_suspect: Callable[[Report], None],
         count_unknown: Callable[[], None],
     ) -> None:
         self._clock = clock
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -28,9 +28,12 @@
     """A way to a node: a link, or the local one to this node itself."""
 
     number: int
-    peer: Hello | None
     exchanges: dict[str, OneShot[LinkEvent]]
 
+    @property
+    def peer(self) -> Hello | None:
+        """The hello of the node at the other end, once it came."""
+
     def send(self, frame: Frame) -> None:
         """Queue ``frame``; never blocks."""
 
@@ -139,8 +142,8 @@
             self._end_exchanges()
 
     async def flushed(self) -> None:
-        """Wait until nothing is queued."""
-        while self._outbox and not self.closed:
+        """Wait until all that was queued is sent."""
+        while (self._outbox or self._writing) and not self.closed:
             await trio.sleep(0.01)
 
     async def _read(self, opened: OneShot[Hello | None]) -> None:
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -5,6 +5,7 @@
 import trio
 
 from ..bundle.readers import PlatformReader
+from ..flow.policy import Policy
 from ..membership.failure import FailureTracker
 from ..membership.gossip import Gossiper
 from ..membership.host_list import ListedHost
@@ -28,7 +29,8 @@
 class MembershipTask:
     """Owns gossip, pause detection and the ticking of links.
 
-    ``on_members`` hears the services whose members changed.
+    ``on_members`` hears the services whose members changed, ``on_renewed`` a new
+    incarnation of this node.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         clock: Clock,
         seeds: Sequence[str],
         on_members: Callable[[Iterable[str]], None],
+        on_renewed: Callable[[int], None],
         log: LogDecision,
     ) -> None:
         self._view = view
@@ -54,6 +57,7 @@
         self._clock = clock
         self._seeds = seeds
         self._on_members = on_members
+        self._on_renewed = on_renewed
         self._log = log
         self._nursery: trio.Nursery | None = None
         self._version = -1
@@ -70,6 +74,10 @@
                 self._tick(self._clock.now_ms())
                 await trio.sleep(TICK_MS / MS_PER_S)
 
+    def follow(self, policy: Policy) -> None:
+        """Gossip by the times of a new bundle."""
+        self._gossiper.set_policy(policy.bundle.membership)
+
     async def confirmed(self) -> None:
         """Return at once, or after a pause when a peer has answered.
 
@@ -150,6 +158,9 @@
         self._notice_pause(now_ms)
         for link in self._links.streams():
             link.tick(now_ms)
+        outranked = self._view.outranked_by
+        if outranked is not None and self._view.self_record.state == LIVE:
+            self._renew(now_ms, outranked.incarnation)
         for host in self._failures.gone_hosts(now_ms, self._view):
             self._log("member_gone", host=host)
             changed = self._view.declare_gone(now_ms, host)
@@ -157,6 +168,19 @@
         self._send(self._gossiper.tick(now_ms))
         self._publish_changes()
 
+    def _renew(self, now_ms: float, known_incarnation: int) -> None:
+        """Come back under a higher incarnation after others were told of an end.
+
+        Open links carry the old incarnation in their hello, so that they are closed.
+        """
+        incarnation = max(self._clock.wall_ms(), known_incarnation + 1)
+        record = self._view.renew(now_ms, incarnation)
+        self._log("incarnation_renewed", host=record.host, incarnation=incarnation)
+        self._on_renewed(incarnation)
+        for link in self._links.streams():
+            link.close()
+        self._send(self._gossiper.announce(now_ms, [record]))
+
     def _notice_pause(self, now_ms: float) -> None:
         pause = self._pauses.tick(now_ms, self._clock.wall_ms())
         if pause is None:
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -232,7 +232,7 @@
         policy = parts.holder.current()
         limit_ms = (policy.bundle.drain if policy else DrainPolicy()).limit_ms
         with trio.move_on_after(limit_ms / MS_PER_S):
-            while parts.state.target.jobs or parts.gateway.in_flight:
+            while self._is_busy(parts):
                 await trio.sleep(DRAIN_POLL_S)
         parts.membership.announce(parts.state.view.exit(self._clock.now_ms()))
         with trio.move_on_after(FLUSH_TIMEOUT_S):
@@ -240,6 +240,12 @@
                 await link.flushed()
         self._log("left", host=self._settings.host)
 
+    def _is_busy(self, parts: NodeParts) -> bool:
+        """Return whether a request is in hand, up to the last byte of its answer."""
+        if parts.state.target.jobs or parts.gateway.in_flight:
+            return True
+        return bool(self._entry_drain.busy or self._egress_drain.busy)
+
     async def _accept_peer(self, stream: trio.abc.Stream) -> None:
         await self._wired.wait()
         assert self._parts is not None
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -98,6 +98,7 @@
     )
     holder.follow(follower.follow)
     membership = _build_membership(around, state, holder, reader, links, follower)
+    holder.follow(membership.follow)
     gateway = _build_gateway(around, state, holder, links, membership)
     wiring.router = _build_router(
         around, state, holder, dispatcher, membership, gateway
@@ -160,7 +161,7 @@
         on_failed=failed,
         on_reached=state.failures.reached,
     )
-    local = LocalLink(hello=hello(), on_frame=wiring.on_frame)
+    local = LocalLink(hello=hello, on_frame=wiring.on_frame)
     links.add_local(local, state.record.host)
     return links
 
@@ -197,6 +198,7 @@
         clock=around.clock,
         seeds=[str(seed) for seed in around.settings.seeds],
         on_members=publish,
+        on_renewed=state.renew,
         log=around.log,
     )
 
@@ -224,6 +226,7 @@
         random=state.random,
         bundle_order=lambda: holder.order,
         suspects=lambda: state.suspects.reports(clock.now_ms()),
+        all_suspects=lambda: state.suspects.all_reports(clock.now_ms()),
         platform_age_ms=platform_age_ms,
         linked=linked,
         is_reachable=state.failures.is_reachable,
--- a/src/jacinthshed/internal/node/policy_follower.py
+++ b/src/jacinthshed/internal/node/policy_follower.py
@@ -40,6 +40,11 @@
         state = self._state
         state.memo.set_policy(at, bundle.fence)
         state.suspects.set_policy(bundle.quarantine)
+        state.picker.set_policy(bundle.routing)
+        state.failures.set_policy(bundle.membership)
+        state.pauses.set_policy(bundle.membership)
+        state.resends.set_policy(bundle.retry)
+        state.levels.set_ttl_ms(bundle.admission.level_ttl_ms)
         self._reader.policy_changed(at.now_ms, bundle.readers)
         self._subset = bundle.routing.subset
         for service in state.view.services():
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -59,6 +59,14 @@
     check: ArrivalCheck
     target: Target
 
+    def renew(self, incarnation: int) -> None:
+        """Go on under a higher incarnation.
+
+        Fences of the one before run no more; what was started under them is kept.
+        """
+        self.memo.renew(incarnation)
+        self.target.renew(incarnation)
+
 
 def build_state(
     *,
--- a/src/jacinthshed/internal/retry/resend_bucket.py
+++ b/src/jacinthshed/internal/retry/resend_bucket.py
@@ -24,6 +24,14 @@
         self._node = TokenBucket(burst=policy.burst * NODE_BURST_FACTOR)
         self._callers: OrderedDict[str, TokenBucket] = OrderedDict()
 
+    def set_policy(self, policy: RetryPolicy) -> None:
+        """Follow a new bundle; the buckets start full."""
+        if policy == self._policy:
+            return
+        self._policy = policy
+        self._node = TokenBucket(burst=policy.burst * NODE_BURST_FACTOR)
+        self._callers.clear()
+
     def fresh(self, caller: str) -> None:
         """Count a request that was not sent before."""
         self._node.add(self._policy.ratio)
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -167,3 +167,32 @@
 
     trio.run(main)
     assert seen == []
+
+
+def test_a_connection_is_busy_until_its_answer_is_written():
+    """A graceful shutdown waits for that, so that no answer is cut."""
+
+    async def quick(request, informational):
+        return Response(200, body=b"x" * 100_000)
+
+    async def main():
+        drain = Drain()
+        client, server = trio.testing.lockstep_stream_pair()
+
+        async def serve():
+            await serve_connection(server, quick, limits=HttpLimits(), drain=drain)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            await trio.sleep(1)
+            assert drain.busy == 0
+            await client.send_all(REQUEST)
+            await trio.sleep(1)
+            drain.start()
+            assert drain.busy == 1
+            received = await receive_all(client)
+            await trio.sleep(1)
+            assert drain.busy == 0
+        assert received.endswith(b"x" * 100_000)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/cover/test_node_sessions.py
+++ b/tests/cover/test_node_sessions.py
@@ -9,6 +9,7 @@
 from jacinthshed import Reason, Verdict
 from jacinthshed.internal.bundle.model import RetryPolicy
 from jacinthshed.internal.http.message import Request, header
+from jacinthshed.internal.node.clock import trio_now_ms
 from jacinthshed.internal.standin.backend_state import ShedAnswer
 from jacinthshed.internal.standin.platform_state import Mode
 from tests.common.fleet import run_virtual, running_fleet
@@ -84,14 +85,16 @@
                     await caller.request("GET", "/orders/lookup", deadline_ms=5_000)
                 )
 
+            # Past slow start, so that the host that leaves draws its full share.
+            await trio.sleep(12)
             for _ in range(12):
                 nursery.start_soon(lookup)
             await trio.sleep(0.5)
             leaving = fleet["orders-2"]
             assert leaving.backend.in_hand > 0
+            started = leaving.backend.finished + leaving.backend.in_hand
             leaving.node.leave()
             await trio.sleep(1)
-            started = leaving.backend.finished + leaving.backend.in_hand
             for _ in range(12):
                 nursery.start_soon(lookup)
             await leaving.node_ended.wait()
@@ -282,10 +285,11 @@
     async def main():
         options = {"orders": {"slots": 0}}
         async with running_fleet(single_layout(2), single_bundle(), options) as fleet:
-            lookup = Request(b"GET", b"/orders/lookup", HOST)
+            keyed = (b"idempotency-key", b"k"), (b"jacinthshed-fence", b"new")
+            order = Request(b"POST", b"/orders/book", (*HOST, *keyed))
             reasons = Counter()
             for _ in range(100):
-                response = await fleet.send("orders-0", lookup)
+                response = await fleet.send("orders-0", order)
                 reasons[msgspec.json.decode(response.body)["reason"]] += 1
             burst = RetryPolicy().burst
             assert reasons["retry-limit"] >= 100 - burst - 2
@@ -316,3 +320,67 @@
             assert 0 < len(arrivals) <= at_once
 
     run_virtual(main)
+
+
+def test_equal_requests_of_many_people_behind_one_address_are_not_held():
+    """Without a key nothing tells a resend from another person's equal request."""
+
+    async def main():
+        options = {"orders": {"slots": 0}}
+        async with running_fleet(single_layout(2), single_bundle(), options) as fleet:
+            lookup = Request(b"GET", b"/orders/lookup", HOST)
+            reasons = Counter()
+            for _ in range(60):
+                response = await fleet.send("orders-0", lookup)
+                reasons[msgspec.json.decode(response.body)["reason"]] += 1
+            assert reasons["retry-limit"] == 0
+
+    run_virtual(main)
+
+
+def test_a_live_host_that_was_declared_gone_comes_back():
+    async def main():
+        async with running_fleet(single_layout(3), single_bundle()) as fleet:
+            view = fleet["orders-0"].node._parts.state.view
+            view.declare_gone(trio_now_ms(), "orders-1")
+            assert not view.is_routable("orders-1")
+            await trio.sleep(10)
+            assert view.is_routable("orders-1")
+            caller = fleet.caller("orders-1")
+            for _ in range(8):
+                order = await caller.request(
+                    "POST", "/orders/book", key=caller.new_key()
+                )
+                assert isinstance(order, Success), order
+
+    run_virtual(main)
+
+
+def test_every_section_of_a_new_bundle_takes_effect():
+    changed = {
+        "routing": {"subset": 2, "slow_start_ms": 1_234},
+        "membership": {"gossip_interval_ms": 777, "pause_after_ms": 2_222},
+        "retry": {"allowance": 1, "ratio": 0.2, "burst": 7},
+        "admission": {"level_ttl_ms": 432},
+        "fence": {"skew_ms": 321},
+        "quarantine": {"crashes": 3},
+        "readers": {"per_zone": 1},
+    }
+
+    async def main():
+        async with running_fleet(single_layout(1), single_bundle()) as fleet:
+            fleet.publish(version=2, **changed)
+            await trio.sleep(14)
+            parts = fleet["orders-0"].node._parts
+            state = parts.state
+            assert state.picker._policy.slow_start_ms == 1_234
+            assert parts.membership._gossiper._policy.gossip_interval_ms == 777
+            assert state.failures._policy.gossip_interval_ms == 777
+            assert state.pauses._pause_after_ms == 2_222
+            assert state.resends._policy.burst == 7
+            assert state.levels._ttl_ms == 432
+            assert state.memo._records.policy.skew_ms == 321
+            assert state.suspects._policy.crashes == 3
+            assert fleet["orders-0"].node._reader._policy.per_zone == 1
+
+    run_virtual(main)
