Nested calls in parallel count once in a request's own latency; call sends a key only where one is needed

Cause: the time of each nested call was added up, so that a request with parallel calls had a negative latency of its own and the adaptive limit saw its server as faster than it is.

--- a/src/jacinthshed/internal/caller/caller.py
+++ b/src/jacinthshed/internal/caller/caller.py
@@ -31,6 +31,11 @@
 _ENTRY_USELESS = frozenset({Reason.LEAVING, Reason.NO_BUNDLE})
 
 
+def is_idempotent_method(method: str) -> bool:
+    """Return whether a request of this method may run twice, by its standard."""
+    return method.upper() in _IDEMPOTENT_METHODS
+
+
 class Caller:
     """Sends requests through any of ``entries``, the addresses of entry nodes.
 
@@ -86,7 +91,7 @@
         ``idempotent`` defaults to what the method says.
         """
         if idempotent is None:
-            idempotent = method.upper() in _IDEMPOTENT_METHODS
+            idempotent = is_idempotent_method(method)
         draft = Draft(
             method.encode(),
             path.encode(),
--- a/src/jacinthshed/internal/cli/call_command.py
+++ b/src/jacinthshed/internal/cli/call_command.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from ..caller.answer import Answer
-from ..caller.caller import DEFAULT_DEADLINE_MS, Caller
+from ..caller.caller import DEFAULT_DEADLINE_MS, Caller, is_idempotent_method
 from ..http.message import Header
 from ..http.network import split_address
 from ..verdict import Refusal
@@ -63,10 +63,15 @@
         print(error, file=sys.stderr)
         return EXIT_USAGE
 
+    if idempotent is None:
+        idempotent = is_idempotent_method(method)
+
     async def run() -> _Called:
         caller = Caller(entries=[entry])
-        sent_key = key if key is not None else caller.new_key()
-        if fence is not None:
+        sent_key = key
+        if sent_key is None and not idempotent:
+            sent_key = caller.new_key()
+        if fence is not None and sent_key is not None:
             caller.hold_fence(sent_key, fence)
         result = await caller.request(
             method,
@@ -78,9 +83,9 @@
             deadline_ms=deadline_ms,
             idempotent=idempotent,
         )
-        held = caller.fence(sent_key)
+        held = caller.fence(sent_key) if sent_key is not None else ""
         await caller.aclose()
-        return _Called(result, sent_key, held)
+        return _Called(result, sent_key or "", held)
 
     called = trio.run(run)
     result = called.result
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -23,6 +23,7 @@
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
+from .nested_time import NestedTime
 from .replies import addressed, refusal_reply
 
 
@@ -46,6 +47,7 @@
         ledger: AllowanceLedger,
         contexts: ContextRegistry,
         check: ArrivalCheck,
+        nested: NestedTime,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
         list_age_ms: Callable[[Instant], float],
         log: Callable[..., None],
@@ -62,7 +64,7 @@
         self._list_age_ms = list_age_ms
         self._log = log
         self._jobs = JobTable()
-        self._nested_ms: dict[str, float] = {}
+        self._nested = nested
 
     def renew(self, incarnation: int) -> None:
         """Go on under a higher incarnation."""
@@ -152,12 +154,6 @@
         """Return when ``expire`` has work to do next, or ``None``."""
         return self._admission.next_expiry_ms()
 
-    def add_nested_ms(self, request_id: str, nested_ms: float) -> None:
-        """Count time that a running request spent in calls below it."""
-        if self._jobs.by_request(request_id) is not None:
-            spent = self._nested_ms.get(request_id, 0.0)
-            self._nested_ms[request_id] = spent + nested_ms
-
     def _admit(
         self, at: Instant, link: int, submit: Submit, mark: int
     ) -> list[TargetAction]:
@@ -224,7 +220,7 @@
 
     def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
         started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
-        nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
+        nested_ms = self._nested.take(at.now_ms, job.submit.request_id)
         return self._admission.finish(
             at.now_ms, job.ticket, at.now_ms - started_ms, outcome, nested_ms
         )
@@ -232,7 +228,7 @@
     def _reply_all(self, at: Instant, job: Job, reply: Reply) -> list[TargetAction]:
         """End the job and send its reply to everybody who waits for it."""
         submit = job.submit
-        self._forget(job)
+        self._jobs.remove(job)
         calls_done = self._contexts.close(submit.request_id)
         unused = submit.allowance
         if job.running:
@@ -293,7 +289,7 @@
         if job.running:
             return [Abort(job.ticket)]
         self._admission.withdraw(at.now_ms, job.ticket)
-        self._forget(job)
+        self._jobs.remove(job)
         return []
 
     def _log_admission(
@@ -308,10 +304,6 @@
             reason="" if refusal is None else refusal.reason,
         )
 
-    def _forget(self, job: Job) -> None:
-        self._jobs.remove(job)
-        self._nested_ms.pop(job.submit.request_id, None)
-
 
 def _mark(submit: Submit) -> int:
     return fingerprint(
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -20,6 +20,7 @@
     read_call,
     refuse_early,
 )
+from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.steps import CallEnd
 from ..flow.tools import CallTools
@@ -65,7 +66,7 @@
         tools: CallTools,
         is_leaving: Callable[[], bool],
         confirmed: Callable[[], Awaitable[None]],
-        on_nested_done: Callable[[str, float], None],
+        nested: NestedTime,
         observe: Callable[[Call], ExchangeObserver],
         log: LogDecision,
     ) -> None:
@@ -78,7 +79,7 @@
         self._tools = tools
         self._is_leaving = is_leaving
         self._confirmed = confirmed
-        self._on_nested_done = on_nested_done
+        self._nested = nested
         self._observe = observe
         self._log = log
         self.in_flight = 0
@@ -166,9 +167,7 @@
 
     async def _run(self, intake: Intake, port: CallerPort) -> CallEnd:
         call = intake.call
-        began_ms = self._clock.now_ms()
-        if not call.parent_id:
-            self._ledger.open(call.ledger_id, call.allowance)
+        self._open(call)
         try:
             flow = choose_flow(intake, self._tools)
             end = await drive(
@@ -179,7 +178,7 @@
                 observer=self._observe(call),
             )
         finally:
-            self._close(call, began_ms)
+            self._close(call)
         self._note_end(call, end)
         return end
 
@@ -197,9 +196,15 @@
         asked = header(request.headers, INTERIM_HEADER) is not None
         return CallerPort(announce, alive if asked else None)
 
-    def _close(self, call: Call, began_ms: float) -> None:
+    def _open(self, call: Call) -> None:
+        if not call.parent_id:
+            self._ledger.open(call.ledger_id, call.allowance)
+        elif self._contexts.get(call.parent_id) is not None:
+            self._nested.began(self._clock.now_ms(), call.parent_id)
+
+    def _close(self, call: Call) -> None:
         if call.parent_id:
-            self._on_nested_done(call.parent_id, self._clock.now_ms() - began_ms)
+            self._nested.ended(self._clock.now_ms(), call.parent_id)
         else:
             self._ledger.close(call.ledger_id)
 
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -251,7 +251,7 @@
         tools=make_tools(calls),
         is_leaving=around.is_leaving,
         confirmed=membership.confirmed,
-        on_nested_done=state.target.add_nested_ms,
+        nested=state.nested,
         observe=partial(make_observer, calls),
         log=around.log,
     )
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -21,6 +21,7 @@
 from ..fence.memo import FenceMemo
 from ..flow.arrival_check import ArrivalCheck
 from ..flow.context import ContextRegistry
+from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.target import Target
 from ..membership.failure import FailureTracker
@@ -50,6 +51,7 @@
     resends: ResendBucket
     refused: RefusedLately
     contexts: ContextRegistry
+    nested: NestedTime
     levels: LevelTable
     view: View
     failures: FailureTracker
@@ -88,6 +90,7 @@
     contexts = ContextRegistry()
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
+    nested = NestedTime()
     check = ArrivalCheck(policy=policy, suspects=suspects)
     target = Target(
         host=record.host,
@@ -98,6 +101,7 @@
         ledger=ledger,
         contexts=contexts,
         check=check,
+        nested=nested,
         fold_level=_level_folder(policy, levels),
         list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         log=log,
@@ -114,6 +118,7 @@
         resends=ResendBucket(policy=RetryPolicy()),
         refused=RefusedLately(),
         contexts=contexts,
+        nested=nested,
         levels=levels,
         view=view,
         failures=FailureTracker(policy=membership),
