An entry node whose list of targets is old proves no key new

The long state machine started a key twice: a target had joined, one entry node had not heard of it for longer than a key's lifetime, so the other targets vouched for the whole span and the new one was not asked. A revocation now takes the age of the node's view, and half a key lifetime is the most that counts. Ruled out: vouching for longer at the targets, which would only move the span.

--- a/src/jacinthshed/internal/fence/revocation.py
+++ b/src/jacinthshed/internal/fence/revocation.py
@@ -5,6 +5,7 @@
 from ..wire.frames import Revoke, Revoked
 
 UNREACHABLE_RETRY_MS = 5_000
+MAX_VIEW_AGE_SHARE = 0.5
 
 
 class RevocationTarget(NamedTuple):
@@ -61,7 +62,8 @@
     """One revocation of one key with one ballot.
 
     ``targets`` are all of the service that may have run the key, home first. The list
-    must hold the targets that left or died within ``key_lifetime_ms``.
+    must hold the targets that left or died within ``key_lifetime_ms``. ``view_age_ms``
+    is how long ago this node's view of the members last agreed with a peer's.
     """
 
     def __init__(
@@ -72,12 +74,14 @@
         ballot: str,
         targets: tuple[RevocationTarget, ...],
         key_lifetime_ms: int,
+        view_age_ms: float = 0.0,
     ) -> None:
         self._frame = Revoke(request_id, key, ballot)
         self._departed = [target.host for target in targets if target.departed]
         self._asked = [target.host for target in targets if not target.departed]
         self._waiting = set(self._asked)
         self._key_lifetime_ms = key_lifetime_ms
+        self._view_is_old = view_age_ms > key_lifetime_ms * MAX_VIEW_AGE_SHARE
         self._unreachable: list[str] = []
         self._young: list[str] = []
         self._superseding: str | None = None
@@ -128,6 +132,11 @@
             return MayHaveRun(f"{self._departed[0]} has left with its records", 0)
         if self._young:
             return MayHaveRun(f"{self._young[0]} may have lost its records", 0)
+        # A target that joined since, and that this node hasn't heard of, spoils what
+        # the others vouch for only while it is younger than the key's lifetime.
+        if self._view_is_old:
+            detail = "this node's list of targets is old"
+            return MayHaveRun(detail, UNREACHABLE_RETRY_MS)
         if self._unreachable:
             detail = f"{self._unreachable[0]} doesn't answer"
             return MayHaveRun(detail, UNREACHABLE_RETRY_MS)
--- a/tests/common/fence_entry.py
+++ b/tests/common/fence_entry.py
@@ -45,8 +45,8 @@
 class EntryProcess:
     """One entry node: ``live`` is its view, host to incarnation and start.
 
-    ``departed`` is what it has heard of targets that left, host to time. ``pick`` is
-    a number that decides between equal choices.
+    ``departed`` is what it has heard of targets that left, host to time, and
+    ``heard_ms`` when it last did. ``pick`` decides between equal choices.
     """
 
     def __init__(self, *, name, skew_ms):
@@ -54,6 +54,7 @@
         self.skew_ms = skew_ms
         self.live = {}
         self.departed = {}
+        self.heard_ms = 0
         self.calls = {}
         self._ballots = Ballots(host=name, incarnation=1)
         self._random = random.Random(name)
@@ -160,6 +161,7 @@
             ballot=ballot,
             targets=self._targets(now_ms),
             key_lifetime_ms=POLICY.key_lifetime_ms,
+            view_age_ms=now_ms - self.heard_ms,
         )
         return call.revocation.frames()
 
--- a/tests/common/fence_faults.py
+++ b/tests/common/fence_faults.py
@@ -90,4 +90,6 @@
     join,
     hear,
     hear_everywhere,
+    hear_everywhere,
+    hear_everywhere,
 ]
--- a/tests/common/fence_fleet.py
+++ b/tests/common/fence_fleet.py
@@ -153,6 +153,7 @@
     def hear(self, entry):
         """Bring an entry node's view up to date."""
         process = self.entries[entry]
+        process.heard_ms = self.now_ms
         process.live = {h: t.incarnation for h, t in self.targets.items()}
         for host in self.left:
             process.departed.setdefault(host, self.now_ms)
--- a/tests/cover/test_fence_machine.py
+++ b/tests/cover/test_fence_machine.py
@@ -42,6 +42,12 @@
         mode = "own" if state.holds_fence and not bare else "bare"
         self.fleet.call(state.key, name, mode, pick)
 
+    @precondition(lambda self: self.fleet.newest_key() is None)
+    @rule()
+    def race(self):
+        for name in self.fleet.entries:
+            self.fleet.call("k0", name, "bare")
+
     @precondition(lambda self: self.fleet.sent)
     @rule(which=INDEX, pick=INDEX, copies=st.sampled_from([1, 1, 1, 0, 2]))
     def deliver_one(self, which, pick, copies):
@@ -51,17 +57,20 @@
         if copies > 0:
             self.fleet.deliver(sent, pick)
 
+    @precondition(lambda self: self.fleet.sent)
     @precondition(lambda self: self.fleet.sent)
     @rule(pick=INDEX, newest=st.booleans())
     def deliver_all(self, pick, newest):
         self.fleet.deliver_all(pick, newest=newest)
 
+    @precondition(lambda self: self.fleet.keys)
     @rule(pick=INDEX, step=st.sampled_from(["dispatch", "dispatch", "shed"]))
     def deliver_all_and_work(self, pick, step):
         self.fleet.deliver_all(pick)
         for host in self.fleet.hosts_with("queue"):
             self.fleet.work(host, step)
 
+    @precondition(lambda self: self.fleet.keys)
     @rule(which=INDEX, step=st.sampled_from(STEPS))
     def work(self, which, step):
         attribute = "queue" if step in ("dispatch", "shed") else "running"
@@ -69,10 +78,12 @@
         if hosts:
             self.fleet.work(self.fleet.nth(hosts, which), step)
 
+    @precondition(lambda self: self.fleet.keys)
     @rule(fault=st.sampled_from(FAULTS), which=INDEX, pick=INDEX)
     def fail(self, fault, which, pick):
         fault(self.fleet, which, pick)
 
+    @precondition(lambda self: self.fleet.keys)
     @rule(span_ms=SLEEPS_MS)
     def sleep(self, span_ms):
         self.fleet.now_ms += span_ms
--- a/tests/cover/test_fence_revocation.py
+++ b/tests/cover/test_fence_revocation.py
@@ -180,6 +180,19 @@
     assert _verdicts(fleet) == [None, Verdict.MAY_HAVE_RUN]
 
 
+def test_entry_node_with_an_old_list_of_targets_proves_nothing():
+    fleet = _fleet("a")
+    fleet.join("d")
+    fleet.hear("x")
+    fleet.now_ms += 2 * KEPT_MS
+    fleet.call("key", "x", "new", 1)
+    _run_all(fleet)
+    assert fleet.starts[0].host == "d"
+    fleet.call("key", "y", "bare")
+    _run_all(fleet)
+    assert _verdicts(fleet) == [None, Verdict.MAY_HAVE_RUN]
+
+
 def test_replacement_minted_after_a_revocation_dies_at_a_restarted_target():
     fleet = _fleet("ab")
     fleet.call("key", "x", "own", 0)
