--- a/src/jacinthshed/internal/cli/call_command.py
+++ b/src/jacinthshed/internal/cli/call_command.py
@@ -18,6 +18,24 @@
 _FIRST_ERROR_STATUS = 400
 
 
+class _Draft(NamedTuple):
+    """The request to send."""
+
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    idempotent: bool
+
+
+class _Naming(NamedTuple):
+    """What names the request among its copies."""
+
+    key: str | None
+    fence: str | None
+    first_use: bool
+
+
 class _Called(NamedTuple):
     """How the call ended, and what is needed to ask again."""
 
@@ -56,38 +74,45 @@
     :param body: Body of the request.
     :param as_json: Print one JSON object.
     """
+    if idempotent is None:
+        idempotent = is_idempotent_method(method)
     try:
         split_address(entry)
         fields = tuple(_header(item) for item in header)
     except ValueError as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
-
-    if idempotent is None:
-        idempotent = is_idempotent_method(method)
-
-    async def run() -> _Called:
-        caller = Caller(entries=[entry])
-        sent_key = key
-        if sent_key is None and not idempotent:
-            sent_key = caller.new_key()
-        if fence is not None and sent_key is not None:
-            caller.hold_fence(sent_key, fence)
-        result = await caller.request(
-            method,
-            path,
-            headers=fields,
-            body=body.encode(),
-            key=sent_key,
-            first_use=first_use,
-            deadline_ms=deadline_ms,
-            idempotent=idempotent,
-        )
-        held = caller.fence(sent_key) if sent_key is not None else ""
-        await caller.aclose()
-        return _Called(result, sent_key or "", held)
-
-    called = trio.run(run)
+    draft = _Draft(method, path, fields, body.encode(), idempotent)
+    naming = _Naming(key, fence, first_use)
+    called = trio.run(_send, entry, draft, naming, deadline_ms)
+    return _report(called, as_json=as_json)
+
+
+async def _send(
+    entry: str, draft: _Draft, naming: _Naming, deadline_ms: int
+) -> _Called:
+    caller = Caller(entries=[entry])
+    key = naming.key
+    if key is None and not draft.idempotent:
+        key = caller.new_key()
+    if naming.fence is not None and key is not None:
+        caller.hold_fence(key, naming.fence)
+    result = await caller.request(
+        draft.method,
+        draft.path,
+        headers=draft.headers,
+        body=draft.body,
+        key=key,
+        first_use=naming.first_use,
+        deadline_ms=deadline_ms,
+        idempotent=draft.idempotent,
+    )
+    held = caller.fence(key) if key is not None else ""
+    await caller.aclose()
+    return _Called(result, key or "", held)
+
+
+def _report(called: _Called, *, as_json: bool) -> int:
     result = called.result
     document = _document(called)
     print(msgspec.json.encode(document).decode() if as_json else _text(document))
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -2,29 +2,24 @@
 
 from collections.abc import Callable
 
-from ..admission.admission import Admission
 from ..admission.decision import Decision, Start
 from ..admission.outcome import Outcome
 from ..admission.shed_level import ShedLevel
 from ..admission.work import Work
 from ..fence.decisions import Cancelled
 from ..fence.instant import Instant
-from ..fence.memo import FenceMemo
 from ..quarantine.fingerprint import fingerprint
-from ..quarantine.suspects import Suspects
-from ..retry.allowance import AllowanceLedger
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Cancel, Reply, Revoke, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
-from .arrival_check import ArrivalCheck
 from .backend_outcome import BackendResult, admission_outcome
 from .conclusion import conclude
-from .context import ContextRegistry, parent_context
+from .context import parent_context
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
-from .nested_time import NestedTime
 from .replies import addressed, refusal_reply
+from .target_state import TargetState
 
 
 class Target:
@@ -41,30 +36,26 @@
         *,
         host: str,
         incarnation: int,
-        admission: Admission,
-        memo: FenceMemo,
-        suspects: Suspects,
-        ledger: AllowanceLedger,
-        contexts: ContextRegistry,
-        check: ArrivalCheck,
-        nested: NestedTime,
+        state: TargetState,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
         list_age_ms: Callable[[Instant], float],
         log: Callable[..., None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
-        self._admission = admission
-        self._memo = memo
-        self._suspects = suspects
-        self._ledger = ledger
-        self._contexts = contexts
-        self._check = check
+        (
+            self._admission,
+            self._memo,
+            self._suspects,
+            self._ledger,
+            self._contexts,
+            self._nested,
+            self._check,
+        ) = state
         self._fold_level = fold_level
         self._list_age_ms = list_age_ms
         self._log = log
         self._jobs = JobTable()
-        self._nested = nested
 
     def renew(self, incarnation: int) -> None:
         """Go on under a higher incarnation."""
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -24,6 +24,7 @@
 from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.target import Target
+from ..flow.target_state import TargetState
 from ..membership.failure import FailureTracker
 from ..membership.pause import PauseDetector
 from ..membership.view import View
@@ -83,53 +84,50 @@
 
     Policies are the defaults until a bundle comes into force.
     """
-    suspects = Suspects(policy=QuarantinePolicy())
-    admission = Admission(slots=1, queue=1, policy=AdmissionPolicy())
-    memo = _build_memo(record, now_ms)
-    ledger = AllowanceLedger()
-    contexts = ContextRegistry()
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
-    nested = NestedTime()
-    check = ArrivalCheck(policy=policy, suspects=suspects)
+    parts = _build_target_state(record, now_ms, policy)
     target = Target(
         host=record.host,
         incarnation=record.incarnation,
-        admission=admission,
-        memo=memo,
-        suspects=suspects,
-        ledger=ledger,
-        contexts=contexts,
-        check=check,
-        nested=nested,
+        state=parts,
         fold_level=_level_folder(policy, levels),
         list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         log=log,
     )
     membership = MembershipPolicy()
     return NodeState(
+        **parts._asdict(),
         record=record,
         random=random,
         store=store,
-        admission=admission,
-        memo=memo,
-        suspects=suspects,
-        ledger=ledger,
         resends=ResendBucket(policy=RetryPolicy()),
         refused=RefusedLately(),
-        contexts=contexts,
-        nested=nested,
         levels=levels,
         view=view,
         failures=FailureTracker(policy=membership),
         pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
         picker=_build_picker(record, random),
         ballots=Ballots(host=record.host, incarnation=record.incarnation),
-        check=check,
         target=target,
     )
 
 
+def _build_target_state(
+    record: MemberRecord, now_ms: float, policy: Callable[[], Policy | None]
+) -> TargetState:
+    suspects = Suspects(policy=QuarantinePolicy())
+    return TargetState(
+        admission=Admission(slots=1, queue=1, policy=AdmissionPolicy()),
+        memo=_build_memo(record, now_ms),
+        suspects=suspects,
+        ledger=AllowanceLedger(),
+        contexts=ContextRegistry(),
+        nested=NestedTime(),
+        check=ArrivalCheck(policy=policy, suspects=suspects),
+    )
+
+
 def _build_memo(record: MemberRecord, now_ms: float) -> FenceMemo:
     return FenceMemo(
         host=record.host,
