--- a/benchmarks/bench_gossip.py
+++ b/benchmarks/bench_gossip.py
@@ -9,23 +9,28 @@
 import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
+from time import process_time
 from typing import NamedTuple
 
 from jacinthshed.internal.bundle.model import MembershipPolicy
 from jacinthshed.internal.bundle.order import BundleOrder
+from jacinthshed.internal.bundle.signing import generate_key
+from jacinthshed.internal.bundle.store import OfferOutcome
 from jacinthshed.internal.membership.link_health import LinkHealth
 from jacinthshed.internal.membership.view import View
 from jacinthshed.internal.wire.codec import decode, encode
 from jacinthshed.internal.wire.frames import Gossip, Heartbeat
 
 from .gossip_fleet import LENGTH_BYTES, PACKET_BYTES, TICK_MS, Fleet, fleet_record
+from .target_bundle import new_store, signed_bundle
 
 SIZES = (10, 50, 100, 300, 1_000)
 QUIET_MS = 20_000.0
 LIMIT_MS = 60_000.0
 BUNDLE_DIGEST = b"d" * 32
 IDLE_LINKS = (10, 40, 100)
-IDLE_MS = 60_000
+IDLE_MS = 600_000
+BUNDLES = 10
 
 
 class Row(NamedTuple):
@@ -142,6 +147,7 @@
     order = BundleOrder(2, BUNDLE_DIGEST)
     first = fleet.members[sorted(fleet.members)[0]]
     first.order = order
+    first.document = signed_bundle(2, generate_key())
     return fleet.run_until(lambda m: m.order == order, LIMIT_MS)
 
 
@@ -189,19 +195,40 @@
     ]
 
 
-def measure_idle_links(links: int) -> Row:
-    """Return the bytes of heartbeats on idle links, both ways, with headers."""
+def measure_idle_links(links: int) -> list[Row]:
+    """Return what idle links cost: heartbeats both ways with headers, and ticks."""
     policy = MembershipPolicy()
     health = [LinkHealth(now_ms=0.0, policy=policy) for _ in range(links)]
     frames = 0
+    started_s = process_time()
     for now_ms in range(0, IDLE_MS, int(TICK_MS)):
         for link in health:
-            if link.due_heartbeat(now_ms):
+            if not link.is_silent(now_ms) and link.due_heartbeat(now_ms):
                 frames += 2
                 link.heartbeat_sent(now_ms)
                 link.received(now_ms)
+    spent_us = (process_time() - started_s) * 1e6
     size = len(encode(Heartbeat(1_000_000, True))) + PACKET_BYTES
-    return Row("idle links", links, 0.0, frames * size / (IDLE_MS / 1_000), "B/s")
+    seconds = IDLE_MS / 1_000
+    return [
+        Row("idle links", links, 0.0, frames * size / seconds, "B/s"),
+        Row("idle links cpu", links, 0.0, spent_us / seconds, "us/s"),
+    ]
+
+
+def measure_bundle() -> list[Row]:
+    """Return the size of a bundle, and the time to check it and put it in force."""
+    key = generate_key()
+    documents = [signed_bundle(version, key) for version in range(1, 1 + BUNDLES)]
+    store = new_store(key)
+    started_s = process_time()
+    for document in documents:
+        assert store.offer(document, "benchmark").outcome is OfferOutcome.ACCEPTED
+    spent_us = (process_time() - started_s) / BUNDLES * 1e6
+    return [
+        Row("bundle document", 0, 0.0, float(len(documents[0])), "B"),
+        Row("bundle check", 0, 0.0, spent_us, "us"),
+    ]
 
 
 def main() -> None:
@@ -210,7 +237,8 @@
     parser.add_argument("--out", type=Path, required=True)
     parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
     arguments = parser.parse_args()
-    rows = [measure_idle_links(links) for links in IDLE_LINKS]
+    rows = [row for links in IDLE_LINKS for row in measure_idle_links(links)]
+    rows += measure_bundle()
     for size in arguments.sizes:
         rows += measure_memory(size)
         rows += measure_quiet(size)
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -23,6 +23,7 @@
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
+from .nested_time import NestedTime
 from .replies import addressed, refusal_reply
 
 
@@ -32,7 +33,7 @@
     Every method that takes a moment ``at`` returns what has to be done at that moment.
     ``fold_level`` combines this target's shed level with those of the services that a
     route calls. ``list_age_ms`` is the time since a target of this service came or
-    went.
+    went. ``log`` takes an event and its fields.
     """
 
     def __init__(
@@ -46,8 +47,10 @@
         ledger: AllowanceLedger,
         contexts: ContextRegistry,
         check: ArrivalCheck,
+        nested: NestedTime,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
         list_age_ms: Callable[[Instant], float],
+        log: Callable[..., None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
@@ -59,8 +62,13 @@
         self._check = check
         self._fold_level = fold_level
         self._list_age_ms = list_age_ms
+        self._log = log
         self._jobs = JobTable()
-        self._nested_ms: dict[str, float] = {}
+        self._nested = nested
+
+    def renew(self, incarnation: int) -> None:
+        """Go on under a higher incarnation."""
+        self._incarnation = incarnation
 
     @property
     def jobs(self) -> int:
@@ -146,12 +154,6 @@
         """Return when ``expire`` has work to do next, or ``None``."""
         return self._admission.next_expiry_ms()
 
-    def add_nested_ms(self, request_id: str, nested_ms: float) -> None:
-        """Count time that a running request spent in calls below it."""
-        if self._jobs.by_request(request_id) is not None:
-            spent = self._nested_ms.get(request_id, 0.0)
-            self._nested_ms[request_id] = spent + nested_ms
-
     def _admit(
         self, at: Instant, link: int, submit: Submit, mark: int
     ) -> list[TargetAction]:
@@ -171,6 +173,8 @@
             deadline_at_ms=job.deadline_at_ms,
         )
         decisions = self._admission.offer(at.now_ms, work, submit.route)
+        if not any(decision.ticket == job.ticket for decision in decisions):
+            self._log_admission("queued", submit)
         return self._apply(at, decisions)
 
     def _apply(self, at: Instant, decisions: list[Decision]) -> list[TargetAction]:
@@ -206,6 +210,7 @@
     def _start(self, at: Instant, job: Job) -> Dispatch:
         submit = job.submit
         job.started_at_ms = at.now_ms
+        self._log_admission("started", submit)
         if submit.fence:
             self._memo.dispatched(submit.key)
         self._suspects.started(job.fingerprint)
@@ -215,7 +220,7 @@
 
     def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
         started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
-        nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
+        nested_ms = self._nested.take(at.now_ms, job.submit.request_id)
         return self._admission.finish(
             at.now_ms, job.ticket, at.now_ms - started_ms, outcome, nested_ms
         )
@@ -223,7 +228,7 @@
     def _reply_all(self, at: Instant, job: Job, reply: Reply) -> list[TargetAction]:
         """End the job and send its reply to everybody who waits for it."""
         submit = job.submit
-        self._forget(job)
+        self._jobs.remove(job)
         calls_done = self._contexts.close(submit.request_id)
         unused = submit.allowance
         if job.running:
@@ -245,6 +250,7 @@
         self, at: Instant, job: Job, refusal: Refusal
     ) -> list[TargetAction]:
         submit = job.submit
+        self._log_admission("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         return self._reply_all(at, job, refusal_reply(submit.request_id, refusal))
@@ -252,6 +258,7 @@
     def _refuse_arrival(
         self, at: Instant, link: int, submit: Submit, refusal: Refusal
     ) -> Send:
+        self._log_admission("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         reply = refusal_reply(submit.request_id, refusal)
@@ -282,12 +289,20 @@
         if job.running:
             return [Abort(job.ticket)]
         self._admission.withdraw(at.now_ms, job.ticket)
-        self._forget(job)
+        self._jobs.remove(job)
         return []
 
-    def _forget(self, job: Job) -> None:
-        self._jobs.remove(job)
-        self._nested_ms.pop(job.submit.request_id, None)
+    def _log_admission(
+        self, outcome: str, submit: Submit, refusal: Refusal | None = None
+    ) -> None:
+        self._log(
+            "admission",
+            request_id=submit.request_id.partition(".")[0],
+            route=submit.route,
+            rank=submit.rank,
+            outcome=outcome,
+            reason="" if refusal is None else refusal.reason,
+        )
 
 
 def _mark(submit: Submit) -> int:
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -20,6 +20,7 @@
     read_call,
     refuse_early,
 )
+from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.steps import CallEnd
 from ..flow.tools import CallTools
@@ -36,6 +37,7 @@
 from .observer import ExchangeObserver
 
 INTERIM_STATUS = 100
+EGRESS_CALLER = "egress"
 INTERIM_HEADER = b"jacinthshed-interim"
 VERDICT_HEADER = b"jacinthshed-verdict"
 REQUEST_HEADER = b"jacinthshed-request"
@@ -64,7 +66,7 @@
         tools: CallTools,
         is_leaving: Callable[[], bool],
         confirmed: Callable[[], Awaitable[None]],
-        on_nested_done: Callable[[str, float], None],
+        nested: NestedTime,
         observe: Callable[[Call], ExchangeObserver],
         log: LogDecision,
     ) -> None:
@@ -77,35 +79,45 @@
         self._tools = tools
         self._is_leaving = is_leaving
         self._confirmed = confirmed
-        self._on_nested_done = on_nested_done
+        self._nested = nested
         self._observe = observe
         self._log = log
         self.in_flight = 0
 
-    async def serve_entry(self, request: Request, interim: Informational) -> Response:
-        """Answer a request from a caller; system headers on it mean nothing."""
+    async def serve_entry(
+        self, request: Request, interim: Informational, *, caller: str = ""
+    ) -> Response:
+        """Answer a request from ``caller``; a context on it means nothing."""
         if self._is_leaving():
             refusal = Refusal(Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return refusal_response(refuse_early(request.headers, refusal))
-        return await self._serve(request, interim, None)
+        return await self._serve(request, interim, None, caller)
 
     async def serve_egress(self, request: Request, interim: Informational) -> Response:
         """Answer a call of this node's own backend server."""
         context = header(request.headers, CONTEXT_HEADER) or b""
         parent = self._contexts.get(context.decode("ascii", "replace"))
-        return await self._serve(request, interim, parent)
+        return await self._serve(request, interim, parent, EGRESS_CALLER)
 
     async def _serve(
-        self, request: Request, interim: Informational, parent: ParentContext | None
+        self,
+        request: Request,
+        interim: Informational,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Response:
         self.in_flight += 1
         try:
-            return await self._answer(request, interim, parent)
+            return await self._answer(request, interim, parent, caller)
         finally:
             self.in_flight -= 1
 
     async def _answer(
-        self, request: Request, interim: Informational, parent: ParentContext | None
+        self,
+        request: Request,
+        interim: Informational,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Response:
         await self._confirmed()
         policy = self._policy()
@@ -116,7 +128,7 @@
             )
             refusal = refuse_early(request.headers, refusal)
             return refusal_response(refusal, request_id=request_id)
-        arrival = self._arrival(request, request_id, parent)
+        arrival = self._arrival(request, request_id, parent, caller)
         intake = read_call(request, arrival, policy)
         if isinstance(intake, Failure):
             refusal = refuse_early(request.headers, intake.failure())
@@ -124,11 +136,15 @@
             return refusal_response(refusal, request_id=request_id)
         call = intake.unwrap().call
         port = self._port(request, call, interim)
-        end = await self._run(intake.unwrap(), policy, port)
+        end = await self._run(intake.unwrap(), port)
         return _response(request_id, end)
 
     def _arrival(
-        self, request: Request, request_id: str, parent: ParentContext | None
+        self,
+        request: Request,
+        request_id: str,
+        parent: ParentContext | None,
+        caller: str,
     ) -> Arrival:
         arrival = Arrival(
             request_id=request_id,
@@ -136,7 +152,7 @@
             wall_ms=self._clock.wall_ms(),
             parent=parent,
             calls_done=0,
-            caller="entry",
+            caller=caller,
         )
         if parent is None:
             return arrival
@@ -145,17 +161,13 @@
         key = nested_key(parent, given, number)
         return arrival._replace(
             calls_done=self._contexts.calls_done(parent.request_id),
-            caller="egress",
             nested_key=key,
             held_fence=self._contexts.take_fence(parent.request_id, key) or FRESH_FENCE,
         )
 
-    async def _run(self, intake: Intake, policy: Policy, port: CallerPort) -> CallEnd:
+    async def _run(self, intake: Intake, port: CallerPort) -> CallEnd:
         call = intake.call
-        began_ms = self._clock.now_ms()
-        if not call.parent_id:
-            allowance = policy.bundle.retry.allowance
-            self._ledger.open(call.ledger_id, allowance)
+        self._open(call)
         try:
             flow = choose_flow(intake, self._tools)
             end = await drive(
@@ -166,7 +178,7 @@
                 observer=self._observe(call),
             )
         finally:
-            self._close(call, began_ms)
+            self._close(call)
         self._note_end(call, end)
         return end
 
@@ -184,15 +196,23 @@
         asked = header(request.headers, INTERIM_HEADER) is not None
         return CallerPort(announce, alive if asked else None)
 
-    def _close(self, call: Call, began_ms: float) -> None:
+    def _open(self, call: Call) -> None:
+        if not call.parent_id:
+            self._ledger.open(call.ledger_id, call.allowance)
+        elif self._contexts.get(call.parent_id) is not None:
+            self._nested.began(self._clock.now_ms(), call.parent_id)
+
+    def _close(self, call: Call) -> None:
         if call.parent_id:
-            self._on_nested_done(call.parent_id, self._clock.now_ms() - began_ms)
+            self._nested.ended(self._clock.now_ms(), call.parent_id)
         else:
             self._ledger.close(call.ledger_id)
 
     def _note_end(self, call: Call, end: CallEnd) -> None:
         if end.reply is not None and call.parent_id:
             self._contexts.add_calls_done(call.parent_id, 1 + end.reply.calls_done)
+        if end.refusal is not None and not call.parent_id:
+            self._tools.note_refusal(call, end.refusal)
         self._log_end(call.request_id, call.route, end.refusal)
 
     def _log_end(self, request_id: str, route: str, refusal: Refusal | None) -> None:
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -1,25 +1,29 @@
 """One node: its listeners, its tasks and its graceful shutdown."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
 import trio
 
-from ..bundle.model import DrainPolicy
+from ..bundle.model import DrainPolicy, SizeLimits
 from ..bundle.signing import TrustedOperators
 from ..bundle.store import BundleStore
+from ..http.client import BackendPool
+from ..http.connection_limit import limit_connections
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
-from ..http.network import Network, StreamHandler
+from ..http.network import Network, StreamHandler, peer_name
 from ..http.server import RequestHandler, serve_connection
 from ..membership.host_list import should_leave
 from ..membership.record_order import LIVE
 from ..settings.address import Address
-from ..settings.model import NodeSettings
+from ..settings.model import BackendSettings, NodeSettings
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
+from .health_task import HealthTask
 from .parts import NodeParts, Surroundings, build_parts
 from .platform_parts import build_platform_tasks, build_reader, read_listed_hosts
 from .policy_holder import PolicyHolder
@@ -76,6 +80,20 @@
         """Whether the node has begun to leave."""
         return self._leave_asked.is_set()
 
+    def gauges(self) -> dict[str, float]:
+        """Return the node's present figures, by their names as metrics."""
+        if self._parts is None:
+            return {}
+        state = self._parts.state
+        return {
+            "admission.limit": state.admission.limit,
+            "admission.running": state.admission.in_flight,
+            "admission.waiting": state.admission.waiting,
+            "calls.in_flight": self._parts.gateway.in_flight,
+            "members": len(state.view.hosts()) + 1,
+            "bundle.version": self._parts.holder.order.version,
+        }
+
     def leave(self) -> None:
         """Begin a graceful shutdown; ``run`` returns at its end."""
         self._leave_asked.set()
@@ -125,6 +143,7 @@
             random=self._random,
             now_ms=self._started_ms,
             policy=holder.current,
+            log=self._log,
         )
         self._reader = build_reader(settings, self._random, self._clock)
         self._around = Surroundings(
@@ -146,9 +165,30 @@
     def _start_tasks(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         parts.links.start(nursery)
         parts.dispatcher.start(nursery)
+        if self._settings.backend is not None:
+            nursery.start_soon(self._health_task(self._settings.backend, parts).run)
         nursery.start_soon(parts.dispatcher.expire_waiting)
         nursery.start_soon(parts.membership.run)
 
+    def _health_task(self, backend: BackendSettings, parts: NodeParts) -> HealthTask:
+        def changed(is_up: bool) -> None:
+            self._log(
+                "backend_up" if is_up else "backend_down", address=str(backend.address)
+            )
+            parts.state.check.backend_is_up = is_up
+
+        pool = BackendPool(
+            connect=self._network.connect,
+            address=str(backend.address),
+            max_connections=1,
+        )
+        return HealthTask(
+            pool=pool,
+            path=backend.health_path,
+            interval_ms=backend.health_interval_ms,
+            on_change=changed,
+        )
+
     async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         """Hear peers and the platform before serving, but not for ever.
 
@@ -192,7 +232,7 @@
         policy = parts.holder.current()
         limit_ms = (policy.bundle.drain if policy else DrainPolicy()).limit_ms
         with trio.move_on_after(limit_ms / MS_PER_S):
-            while parts.state.target.jobs or parts.gateway.in_flight:
+            while self._is_busy(parts):
                 await trio.sleep(DRAIN_POLL_S)
         parts.membership.announce(parts.state.view.exit(self._clock.now_ms()))
         with trio.move_on_after(FLUSH_TIMEOUT_S):
@@ -200,6 +240,12 @@
                 await link.flushed()
         self._log("left", host=self._settings.host)
 
+    def _is_busy(self, parts: NodeParts) -> bool:
+        """Return whether a request is in hand, up to the last byte of its answer."""
+        if parts.state.target.jobs or parts.gateway.in_flight:
+            return True
+        return bool(self._entry_drain.busy or self._egress_drain.busy)
+
     async def _accept_peer(self, stream: trio.abc.Stream) -> None:
         await self._wired.wait()
         assert self._parts is not None
@@ -207,7 +253,8 @@
 
     async def _serve_entry(self, stream: trio.abc.Stream) -> None:
         assert self._parts is not None
-        handler = self._parts.gateway.serve_entry
+        caller = peer_name(stream)
+        handler = partial(self._parts.gateway.serve_entry, caller=caller)
         await self._serve(stream, handler, self._entry_drain)
 
     async def _serve_egress(self, stream: trio.abc.Stream) -> None:
@@ -220,7 +267,10 @@
     ) -> None:
         http = self._settings.http
         limits = HttpLimits(
-            head_bytes=http.head_bytes, idle_ms=http.idle_ms, read_ms=http.read_ms
+            head_bytes=http.head_bytes,
+            body_bytes=self._body_bytes(),
+            idle_ms=http.idle_ms,
+            read_ms=http.read_ms,
         )
         await serve_connection(
             stream,
@@ -230,13 +280,19 @@
             cancel_on_disconnect=True,
         )
 
+    def _body_bytes(self) -> int:
+        policy = self._parts.holder.current() if self._parts else None
+        return (policy.bundle.sizes if policy else SizeLimits()).request_bytes
+
     async def _serve_http(
         self,
         nursery: trio.Nursery,
         address: Address,
         handler: StreamHandler,
     ) -> str:
-        bound: str = await nursery.start(self._listen, str(address), handler)
+        limit = self._settings.http.connections
+        limited = limit_connections(handler, max_connections=limit)
+        bound: str = await nursery.start(self._listen, str(address), limited)
         return bound
 
     async def _listen(
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -21,6 +21,7 @@
 from ..fence.memo import FenceMemo
 from ..flow.arrival_check import ArrivalCheck
 from ..flow.context import ContextRegistry
+from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.target import Target
 from ..membership.failure import FailureTracker
@@ -28,6 +29,7 @@
 from ..membership.view import View
 from ..quarantine.suspects import Suspects
 from ..retry.allowance import AllowanceLedger
+from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
 from ..wire.frames import MemberRecord
@@ -47,7 +49,9 @@
     suspects: Suspects
     ledger: AllowanceLedger
     resends: ResendBucket
+    refused: RefusedLately
     contexts: ContextRegistry
+    nested: NestedTime
     levels: LevelTable
     view: View
     failures: FailureTracker
@@ -57,6 +61,14 @@
     check: ArrivalCheck
     target: Target
 
+    def renew(self, incarnation: int) -> None:
+        """Go on under a higher incarnation.
+
+        Fences of the one before run no more; what was started under them is kept.
+        """
+        self.memo.renew(incarnation)
+        self.target.renew(incarnation)
+
 
 def build_state(
     *,
@@ -65,6 +77,7 @@
     random: Random,
     now_ms: float,
     policy: Callable[[], Policy | None],
+    log: Callable[..., None],
 ) -> NodeState:
     """Return the state of a node that has just started and knows nothing.
 
@@ -77,6 +90,7 @@
     contexts = ContextRegistry()
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
+    nested = NestedTime()
     check = ArrivalCheck(policy=policy, suspects=suspects)
     target = Target(
         host=record.host,
@@ -87,8 +101,10 @@
         ledger=ledger,
         contexts=contexts,
         check=check,
+        nested=nested,
         fold_level=_level_folder(policy, levels),
-        list_age_ms=lambda at: at.now_ms - view.targets_changed_ms(record.service),
+        list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
+        log=log,
     )
     membership = MembershipPolicy()
     return NodeState(
@@ -100,7 +116,9 @@
         suspects=suspects,
         ledger=ledger,
         resends=ResendBucket(policy=RetryPolicy()),
+        refused=RefusedLately(),
         contexts=contexts,
+        nested=nested,
         levels=levels,
         view=view,
         failures=FailureTracker(policy=membership),
--- a/tests/cover/test_node_sessions.py
+++ b/tests/cover/test_node_sessions.py
@@ -2,11 +2,14 @@
 
 from collections import Counter
 
+import msgspec
 import trio
 from returns.result import Failure, Success
 
 from jacinthshed import Reason, Verdict
-from jacinthshed.internal.http.message import Request
+from jacinthshed.internal.bundle.model import RetryPolicy
+from jacinthshed.internal.http.message import Request, header
+from jacinthshed.internal.node.clock import trio_now_ms
 from jacinthshed.internal.standin.backend_state import ShedAnswer
 from jacinthshed.internal.standin.platform_state import Mode
 from tests.common.fleet import run_virtual, running_fleet
@@ -82,14 +85,16 @@
                     await caller.request("GET", "/orders/lookup", deadline_ms=5_000)
                 )
 
+            # Past slow start, so that the host that leaves draws its full share.
+            await trio.sleep(12)
             for _ in range(12):
                 nursery.start_soon(lookup)
             await trio.sleep(0.5)
             leaving = fleet["orders-2"]
             assert leaving.backend.in_hand > 0
+            started = leaving.backend.finished + leaving.backend.in_hand
             leaving.node.leave()
             await trio.sleep(1)
-            started = leaving.backend.finished + leaving.backend.in_hand
             for _ in range(12):
                 nursery.start_soon(lookup)
             await leaving.node_ended.wait()
@@ -227,3 +232,155 @@
             assert 1 < calls <= 1 + ALLOWANCE
 
     run_virtual(main)
+
+
+def test_a_refusal_of_a_resend_is_not_told_as_not_run():
+    """Nothing was sent from here, but an earlier copy may have run."""
+
+    async def main():
+        async with running_fleet(single_layout(1), single_bundle()) as fleet:
+            key = (b"idempotency-key", b"k")
+            first = Request(
+                b"POST", b"/orders/book", (*HOST, key, (b"jacinthshed-fence", b"new"))
+            )
+            assert verdict(await fleet.send("orders-0", first)) == b"ran"
+            resend = Request(b"POST", b"/orders/book", (*HOST, key))
+            too_large = resend._replace(body=b"x" * 2_000_000)
+            assert verdict(await fleet.send("orders-0", too_large)) == b"may-have-run"
+            deadline = (b"jacinthshed-deadline-ms", b"soon")
+            malformed = resend._replace(headers=(*resend.headers, deadline))
+            assert verdict(await fleet.send("orders-0", malformed)) == b"may-have-run"
+            fleet["orders-0"].node.leave()
+            await trio.sleep(0.1)
+            assert verdict(await fleet.send("orders-0", resend)) == b"may-have-run"
+            assert fleet.total_starts("k") == 1
+
+    run_virtual(main)
+
+
+def test_a_marked_resend_brings_no_allowance_of_its_own():
+    async def main():
+        options = {"orders": {"slots": 0}}
+        async with running_fleet(single_layout(4), single_bundle(), options) as fleet:
+            for host in fleet.hosts.values():
+                host.backend.shed_answer = ShedAnswer.BARE
+            lookup = Request(b"GET", b"/orders/lookup", HOST)
+            await fleet.send("orders-0", lookup)
+            first = sum(host.backend.shed for host in fleet.hosts.values())
+            mark = (b"jacinthshed-resend", b"1")
+            resend = lookup._replace(headers=(*HOST, mark))
+            await fleet.send("orders-0", resend)
+            total = sum(host.backend.shed for host in fleet.hosts.values())
+            assert first == 1 + ALLOWANCE
+            assert total - first == 1
+
+    run_virtual(main)
+
+
+def verdict(response):
+    return header(response.headers, b"jacinthshed-verdict")
+
+
+def test_a_caller_that_ignores_retry_after_is_held():
+    async def main():
+        options = {"orders": {"slots": 0}}
+        async with running_fleet(single_layout(2), single_bundle(), options) as fleet:
+            keyed = (b"idempotency-key", b"k"), (b"jacinthshed-fence", b"new")
+            order = Request(b"POST", b"/orders/book", (*HOST, *keyed))
+            reasons = Counter()
+            for _ in range(100):
+                response = await fleet.send("orders-0", order)
+                reasons[msgspec.json.decode(response.body)["reason"]] += 1
+            burst = RetryPolicy().burst
+            assert reasons["retry-limit"] >= 100 - burst - 2
+
+    run_virtual(main)
+
+
+def test_a_target_whose_backend_server_is_down_draws_no_work():
+    rounds, at_once = 20, 12
+
+    async def main():
+        options = {"orders": {"service_ms": 20.0}}
+        async with running_fleet(single_layout(3), single_bundle(), options) as fleet:
+            fleet["orders-2"].crash_backend()
+            caller = fleet.caller("orders-0")
+            results = []
+
+            async def lookup():
+                results.append(await caller.request("GET", "/orders/lookup"))
+
+            for _ in range(rounds):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(at_once):
+                        nursery.start_soon(lookup)
+                await trio.sleep(0.05)
+            assert [r for r in results if isinstance(r, Failure)] == []
+            arrivals = fleet["orders-2"].decided("admission")
+            assert 0 < len(arrivals) <= at_once
+
+    run_virtual(main)
+
+
+def test_equal_requests_of_many_people_behind_one_address_are_not_held():
+    """Without a key nothing tells a resend from another person's equal request."""
+
+    async def main():
+        options = {"orders": {"slots": 0}}
+        async with running_fleet(single_layout(2), single_bundle(), options) as fleet:
+            lookup = Request(b"GET", b"/orders/lookup", HOST)
+            reasons = Counter()
+            for _ in range(60):
+                response = await fleet.send("orders-0", lookup)
+                reasons[msgspec.json.decode(response.body)["reason"]] += 1
+            assert reasons["retry-limit"] == 0
+
+    run_virtual(main)
+
+
+def test_a_live_host_that_was_declared_gone_comes_back():
+    async def main():
+        async with running_fleet(single_layout(3), single_bundle()) as fleet:
+            view = fleet["orders-0"].node._parts.state.view
+            view.declare_gone(trio_now_ms(), "orders-1")
+            assert not view.is_routable("orders-1")
+            await trio.sleep(10)
+            assert view.is_routable("orders-1")
+            caller = fleet.caller("orders-1")
+            for _ in range(8):
+                order = await caller.request(
+                    "POST", "/orders/book", key=caller.new_key()
+                )
+                assert isinstance(order, Success), order
+
+    run_virtual(main)
+
+
+def test_every_section_of_a_new_bundle_takes_effect():
+    changed = {
+        "routing": {"subset": 2, "slow_start_ms": 1_234},
+        "membership": {"gossip_interval_ms": 777, "pause_after_ms": 2_222},
+        "retry": {"allowance": 1, "ratio": 0.2, "burst": 7},
+        "admission": {"level_ttl_ms": 432},
+        "fence": {"skew_ms": 321},
+        "quarantine": {"crashes": 3},
+        "readers": {"per_zone": 1},
+    }
+
+    async def main():
+        async with running_fleet(single_layout(1), single_bundle()) as fleet:
+            fleet.publish(version=2, **changed)
+            await trio.sleep(14)
+            parts = fleet["orders-0"].node._parts
+            state = parts.state
+            assert state.picker._policy.slow_start_ms == 1_234
+            assert parts.membership._gossiper._policy.gossip_interval_ms == 777
+            assert state.failures._policy.gossip_interval_ms == 777
+            assert state.pauses._pause_after_ms == 2_222
+            assert state.resends._policy.burst == 7
+            assert state.levels._ttl_ms == 432
+            assert state.memo._records.policy.skew_ms == 321
+            assert state.suspects._policy.crashes == 3
+            assert fleet["orders-0"].node._reader._policy.per_zone == 1
+
+    run_virtual(main)
