--- a/src/jacinthshed/internal/cli/signing_commands.py
+++ b/src/jacinthshed/internal/cli/signing_commands.py
@@ -73,8 +73,7 @@
 ) -> int:
     """Sign a bundle, or add a signature to a signed one.
 
-    The bundle is checked first. Show the bundle in force, so that a version which
-    isn't above it is refused.
+    The bundle is checked first. Show the one in force, so that its version is compared.
 
     Example: ``jacinthshed bundle sign bundle.yaml --operator ana --private-key ana.pem
     --in-force current.yaml --output signed.yaml``
@@ -99,11 +98,12 @@
         return refuse_bundle(read.failure())
     found = read.unwrap()
     above = _check_above(found, in_force, in_force_address)
-    key = read_private_key(private_key)
-    for step in (above, key):
-        if isinstance(step, Failure):
-            return refuse(step.failure())
-    return _write_signed(output, sign(found.envelope, operator, key.unwrap()), found)
+    signed = above.bind(lambda _: read_private_key(private_key)).map(
+        lambda key: sign(found.envelope, operator, key)
+    )
+    if isinstance(signed, Failure):
+        return refuse(signed.failure())
+    return _write_signed(output, signed.unwrap(), found)
 
 
 def _write_signed(output: Path, signed: Envelope, found: BundleFile) -> int:
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -8,7 +8,6 @@
 from ..admission.work import Work
 from ..fence.decisions import Cancelled
 from ..fence.instant import Instant
-from ..quarantine.fingerprint import fingerprint
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Cancel, Reply, Revoke, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
@@ -18,6 +17,7 @@
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
+from .mark import mark_of
 from .replies import addressed, refusal_reply
 from .target_state import TargetState
 
@@ -72,7 +72,7 @@
         if known is not None:
             join(known, link, submit)
             return []
-        mark = _mark(submit)
+        mark = mark_of(submit)
         if submit.fence:
             # The memo comes before every other check, as a copy of a request that
             # is running has to find it even when new work is refused.
@@ -294,12 +294,3 @@
             outcome=outcome,
             reason="" if refusal is None else refusal.reason,
         )
-
-
-def _mark(submit: Submit) -> int:
-    return fingerprint(
-        route=submit.route,
-        method=submit.method,
-        target=submit.target,
-        body=submit.body,
-    )
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -9,10 +9,10 @@
 from ..fence.fence import Fence, mint
 from ..fence.revocation import RevocationTarget
 from ..flow.call import Attempt, Call, submit_frame
+from ..flow.mark import mark_of
 from ..flow.policy import Policy
 from ..flow.tools import CallTools
 from ..quarantine.decisions import Quarantined
-from ..quarantine.fingerprint import fingerprint
 from ..routing.rendezvous import home_order
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply, Submit
@@ -130,7 +130,7 @@
 
 
 def _may_retry(around: CallSurroundings, call: Call) -> bool:
-    if not around.state.suspects.may_retry(_mark(call)):
+    if not around.state.suspects.may_retry(mark_of(call)):
         return False
     return around.state.resends.try_resend(NODE_CALLER, around.clock.now_ms())
 
@@ -144,7 +144,7 @@
 def _refuse(around: CallSurroundings, call: Call) -> Refusal | None:
     now_ms = around.clock.now_ms()
     state = around.state
-    mark = _mark(call)
+    mark = mark_of(call)
     state.resends.fresh(NODE_CALLER)
     check = state.suspects.check(now_ms, mark)
     if isinstance(check, Quarantined):
@@ -202,9 +202,3 @@
     around: CallSurroundings, event: str, *, call: Call, **fields: object
 ) -> None:
     around.log(event, request_id=call.request_id, route=call.route, **fields)
-
-
-def _mark(call: Call) -> int:
-    return fingerprint(
-        route=call.route, method=call.method, target=call.target, body=call.body
-    )
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -10,7 +10,6 @@
 from ..bundle.model import DrainPolicy, SizeLimits
 from ..bundle.signing import TrustedOperators
 from ..bundle.store import BundleStore
-from ..http.client import BackendPool
 from ..http.connection_limit import limit_connections
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
@@ -19,11 +18,11 @@
 from ..membership.host_list import should_leave
 from ..membership.record_order import LIVE
 from ..settings.address import Address
-from ..settings.model import BackendSettings, NodeSettings
+from ..settings.model import NodeSettings
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
+from .backend_health import build_health_task, is_listening
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
-from .health_task import HealthTask
 from .parts import NodeParts, Surroundings, build_parts
 from .platform_parts import build_platform_tasks, build_reader, read_listed_hosts
 from .policy_holder import PolicyHolder
@@ -33,7 +32,6 @@
 LEAVE_GRACE_S = 0.5
 DRAIN_POLL_S = 0.02
 FLUSH_TIMEOUT_S = 1.0
-BACKEND_CHECK_TIMEOUT_S = 0.2
 
 LogDecision = Callable[..., None]
 
@@ -166,29 +164,11 @@
         parts.links.start(nursery)
         parts.dispatcher.start(nursery)
         if self._settings.backend is not None:
-            nursery.start_soon(self._health_task(self._settings.backend, parts).run)
+            task = build_health_task(self._around, self._settings.backend, parts.state)
+            nursery.start_soon(task.run)
         nursery.start_soon(parts.dispatcher.expire_waiting)
         nursery.start_soon(parts.membership.run)
 
-    def _health_task(self, backend: BackendSettings, parts: NodeParts) -> HealthTask:
-        def changed(is_up: bool) -> None:
-            self._log(
-                "backend_up" if is_up else "backend_down", address=str(backend.address)
-            )
-            parts.state.check.backend_is_up = is_up
-
-        pool = BackendPool(
-            connect=self._network.connect,
-            address=str(backend.address),
-            max_connections=1,
-        )
-        return HealthTask(
-            pool=pool,
-            path=backend.health_path,
-            interval_ms=backend.health_interval_ms,
-            on_change=changed,
-        )
-
     async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         """Hear peers and the platform before serving, but not for ever.
 
@@ -308,11 +288,4 @@
         backend = self._settings.backend
         if backend is None:
             return False
-        with trio.move_on_after(BACKEND_CHECK_TIMEOUT_S):
-            try:
-                stream = await self._network.connect(str(backend.address))
-            except (OSError, trio.BrokenResourceError):
-                return False
-            await trio.aclose_forcefully(stream)
-            return True
-        return False
+        return await is_listening(self._network, str(backend.address))
