--- a/src/jacinthshed/internal/cli/call_command.py
+++ b/src/jacinthshed/internal/cli/call_command.py
@@ -1,11 +1,10 @@
 """``jacinthshed call``: send one request through an entry node."""
 
 import sys
-from typing import Annotated, Any, NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
-from cyclopts import Parameter
 from returns.result import Result, Success
 
 from ..caller.answer import Answer
@@ -14,6 +13,7 @@
 from ..http.network import split_address
 from ..verdict import Refusal
 from .exit_codes import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
+from .output import Json
 
 _FIRST_ERROR_STATUS = 400
 
@@ -56,7 +56,7 @@
     idempotent: bool | None = None,
     header: tuple[str, ...] = (),
     body: str = "",
-    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+    as_json: Json = False,
 ) -> int:
     """Send one request through the entry node at ENTRY and print its answer.
 
@@ -72,7 +72,6 @@
     :param idempotent: Whether the request may run twice; else the method decides.
     :param header: A further header field as NAME:VALUE; may be given several times.
     :param body: Body of the request.
-    :param as_json: Print one JSON object.
     """
     if idempotent is None:
         idempotent = is_idempotent_method(method)
@@ -84,8 +83,7 @@
         return EXIT_USAGE
     draft = _Draft(method, path, fields, body.encode(), idempotent)
     naming = _Naming(key, fence, first_use)
-    called = trio.run(_send, entry, draft, naming, deadline_ms)
-    return _report(called, as_json=as_json)
+    return _report(trio.run(_send, entry, draft, naming, deadline_ms), as_json=as_json)
 
 
 async def _send(
--- a/src/jacinthshed/internal/cli/signing_commands.py
+++ b/src/jacinthshed/internal/cli/signing_commands.py
@@ -98,19 +98,20 @@
         return refuse_bundle(read.failure())
     found = read.unwrap()
     above = _check_above(found, in_force, in_force_address)
-    signed = above.bind(lambda _: read_private_key(private_key)).map(
-        lambda key: sign(found.envelope, operator, key)
-    )
-    if isinstance(signed, Failure):
-        return refuse(signed.failure())
-    return _write_signed(output, signed.unwrap(), found)
+    key = above.bind(lambda _: read_private_key(private_key))
+    signed = key.map(lambda k: sign(found.envelope, operator, k))
+    return _write_signed(output, signed, found)
 
 
-def _write_signed(output: Path, signed: Envelope, found: BundleFile) -> int:
-    written = write_output(output, envelope_bytes(signed))
+def _write_signed(
+    output: Path, signed: Result[Envelope, str], found: BundleFile
+) -> int:
+    written = signed.bind(
+        lambda envelope: write_output(output, envelope_bytes(envelope))
+    )
     if isinstance(written, Failure):
         return refuse(written.failure())
-    signers = ", ".join(s.operator for s in signed.signatures)
+    signers = ", ".join(s.operator for s in signed.unwrap().signatures)
     print(f"{output}: version {found.bundle.version}, signed by {signers}")
     return EXIT_DONE
 
