--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -2,28 +2,24 @@
 
 from collections.abc import Callable
 
-from ..admission.admission import Admission
 from ..admission.decision import Decision, Start
 from ..admission.outcome import Outcome
 from ..admission.shed_level import ShedLevel
 from ..admission.work import Work
 from ..fence.decisions import Cancelled
 from ..fence.instant import Instant
-from ..fence.memo import FenceMemo
 from ..quarantine.fingerprint import fingerprint
-from ..quarantine.suspects import Suspects
-from ..retry.allowance import AllowanceLedger
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Cancel, Reply, Revoke, Submit
 from .actions import Abort, Dispatch, Send, TargetAction
-from .arrival_check import ArrivalCheck
 from .backend_outcome import BackendResult, admission_outcome
 from .conclusion import conclude
-from .context import ContextRegistry, parent_context
+from .context import parent_context
 from .fenced_copy import remembered
 from .job import Job, Waiter
 from .job_table import JobTable, join
 from .replies import addressed, refusal_reply
+from .target_state import TargetState
 
 
 class Target:
@@ -40,29 +36,30 @@
         *,
         host: str,
         incarnation: int,
-        admission: Admission,
-        memo: FenceMemo,
-        suspects: Suspects,
-        ledger: AllowanceLedger,
-        contexts: ContextRegistry,
-        check: ArrivalCheck,
+        state: TargetState,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
         list_age_ms: Callable[[Instant], float],
         log: Callable[..., None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
-        self._admission = admission
-        self._memo = memo
-        self._suspects = suspects
-        self._ledger = ledger
-        self._contexts = contexts
-        self._check = check
+        (
+            self._admission,
+            self._memo,
+            self._suspects,
+            self._ledger,
+            self._contexts,
+            self._nested,
+            self._check,
+        ) = state
         self._fold_level = fold_level
         self._list_age_ms = list_age_ms
         self._log = log
         self._jobs = JobTable()
-        self._nested_ms: dict[str, float] = {}
+
+    def renew(self, incarnation: int) -> None:
+        """Go on under a higher incarnation."""
+        self._incarnation = incarnation
 
     @property
     def jobs(self) -> int:
@@ -148,12 +145,6 @@
         """Return when ``expire`` has work to do next, or ``None``."""
         return self._admission.next_expiry_ms()
 
-    def add_nested_ms(self, request_id: str, nested_ms: float) -> None:
-        """Count time that a running request spent in calls below it."""
-        if self._jobs.by_request(request_id) is not None:
-            spent = self._nested_ms.get(request_id, 0.0)
-            self._nested_ms[request_id] = spent + nested_ms
-
     def _admit(
         self, at: Instant, link: int, submit: Submit, mark: int
     ) -> list[TargetAction]:
@@ -220,7 +211,7 @@
 
     def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
         started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
-        nested_ms = self._nested_ms.get(job.submit.request_id, 0.0)
+        nested_ms = self._nested.take(at.now_ms, job.submit.request_id)
         return self._admission.finish(
             at.now_ms, job.ticket, at.now_ms - started_ms, outcome, nested_ms
         )
@@ -228,7 +219,7 @@
     def _reply_all(self, at: Instant, job: Job, reply: Reply) -> list[TargetAction]:
         """End the job and send its reply to everybody who waits for it."""
         submit = job.submit
-        self._forget(job)
+        self._jobs.remove(job)
         calls_done = self._contexts.close(submit.request_id)
         unused = submit.allowance
         if job.running:
@@ -289,7 +280,7 @@
         if job.running:
             return [Abort(job.ticket)]
         self._admission.withdraw(at.now_ms, job.ticket)
-        self._forget(job)
+        self._jobs.remove(job)
         return []
 
     def _log_admission(
@@ -304,10 +295,6 @@
             reason="" if refusal is None else refusal.reason,
         )
 
-    def _forget(self, job: Job) -> None:
-        self._jobs.remove(job)
-        self._nested_ms.pop(job.submit.request_id, None)
-
 
 def _mark(submit: Submit) -> int:
     return fingerprint(
