--- a/tests/cover/test_gossip_spread.py
+++ b/tests/cover/test_gossip_spread.py
@@ -5,11 +5,12 @@
 import pytest
 
 from jacinthshed.internal.bundle.order import BundleOrder
+from jacinthshed.internal.membership.gossip import MAX_RECENT
 from jacinthshed.internal.membership.reconciliation import Reconciliation
 from jacinthshed.internal.membership.rumors import MAX_RECORDS
 from jacinthshed.internal.wire.frames import Gossip, Leaving
 
-from ..common.members import Fleet, fleet_records, listed
+from ..common.members import Fleet, Node, fleet_records, listed
 
 HOSTS = 60
 LEAVE_LIMIT_MS = 3_000
@@ -115,3 +116,13 @@
     gaps = [b - a for a, b in pairwise(after)]
     assert len(gaps) >= 2
     assert all(later >= 1.5 * gap for gap, later in pairwise(gaps))
+
+
+def test_a_node_that_has_just_started_does_not_send_all_it_learned():
+    records = fleet_records(2 * MAX_RECENT)
+    node = Node(records[0], seed=0)
+    node.view.merge(0.0, records)
+    ask = Gossip(0, (), False, 0, b"", ())
+    outbox = node.gossiper.receive(5_000.0, "host-1", ask)
+    answers = [gossip for target, gossip in outbox if target == "host-1"]
+    assert 0 < sum(len(gossip.records) for gossip in answers) <= MAX_RECENT + 1
