Nested keys stay valid at any depth; old keys that show their age are refused

Cause: a nested order's key is its parent's key with its own behind it, so that from the seventh layer of 36-character keys on the order was refused as malformed, above the depth of 23 that is asked for. Ruled out: the check of the key's length, which callers need. Before: refused at layer 6 to 7; after: valid and distinct at all 23 (tests/cover/test_flow_intake.py, which fails without the change). key_refusal and may_replace were written and proved but not called; the entry calls both now.

--- a/src/jacinthshed/internal/flow/fenced.py
+++ b/src/jacinthshed/internal/flow/fenced.py
@@ -8,6 +8,7 @@
 from collections.abc import Generator, Iterator
 
 from ..fence.fence import Fence, decode_fence, encode_fence
+from ..fence.path import may_replace
 from ..fence.revocation import (
     Found,
     MayHaveRun,
@@ -78,9 +79,9 @@
             return end
         successor = yield from _mint_at_next(call, tools, hosts, ballot)
         # Asked again, as another copy may have taken the fence up meanwhile.
-        if successor is None or not tools.may_replace_fence(call):
+        if successor is None or not _may_go_on(call, tools, end):
             return end
-        if not tools.spend(call):
+        if not tools.may_retry(call) or not tools.spend(call):
             return end
         tools.log("retry", call=call, host=successor.host, reason="not run")
         fence = successor
@@ -122,11 +123,13 @@
 
 
 def _may_go_on(call: Call, tools: CallTools, end: CallEnd) -> bool:
-    if end.refusal is None or end.refusal.verdict is not Verdict.NOT_RUN:
+    if end.refusal is None or not is_retryable(end.refusal):
         return False
-    if not is_retryable(end.refusal) or not tools.may_replace_fence(call):
-        return False
-    return tools.may_retry(call)
+    return may_replace(
+        minted_here=True,
+        announced=tools.is_fence_known(call),
+        verdict=end.refusal.verdict,
+    )
 
 
 def _hosts(call: Call, tools: CallTools) -> Iterator[str]:
--- a/src/jacinthshed/internal/flow/intake.py
+++ b/src/jacinthshed/internal/flow/intake.py
@@ -2,11 +2,14 @@
 
 from typing import NamedTuple
 
+import xxhash
 from returns.result import Failure, Result, Success
 
 from ..admission.work import hash_of_root
 from ..bundle.routes import RouteMatch
+from ..fence.key_age import key_refusal
 from ..fence.path import (
+    MAX_KEY_CHARS,
     FreshKey,
     NewKey,
     OwnFence,
@@ -176,12 +179,16 @@
     fence = _text(headers, FENCE_HEADER)
     if arrival.parent is not None and not match.route.idempotent:
         key, fence = arrival.nested_key, arrival.held_fence
-    return choose_path(
+    path = choose_path(
         idempotent=match.route.idempotent,
         require_key=policy.bundle.fence.require_key,
         key=key,
         fence=fence,
     )
+    if isinstance(path, RevokeFirst):
+        too_old = key_refusal(path.key, arrival.wall_ms, policy.bundle.fence)
+        return path if too_old is None else Refused(too_old)
+    return path
 
 
 def _key_of(path: Path, arrival: Arrival) -> str:
@@ -197,7 +204,11 @@
     first seen, and needs no question to all targets.
     """
     scope = parent.key or parent.request_id
-    return f"{scope}/{given or call_number}"
+    key = f"{scope}/{given or call_number}"
+    if len(key) <= MAX_KEY_CHARS:
+        return key
+    # Scopes grow with each layer of a deep graph.
+    return xxhash.xxh3_128_hexdigest(key.encode())
 
 
 def _text(headers: Headers, name: bytes) -> str:
--- a/src/jacinthshed/internal/flow/tools.py
+++ b/src/jacinthshed/internal/flow/tools.py
@@ -17,7 +17,7 @@
     ``home_order`` gives the targets in the order of the key's rendezvous rank.
     ``split``, ``spend`` and ``give_back`` work on the call's allowance.
     ``may_retry`` tells whether load and suspicion permit one more attempt.
-    ``may_replace_fence`` tells whether this node is the fence's only holder.
+    ``is_fence_known`` tells whether anybody but this flow holds the call's fence.
     ``next_ballot`` makes a ballot above the given one.
     ``refuse`` gives the refusal when a service on the path would shed this call now or
     the request is in quarantine. ``note_refusal`` remembers the wait that a caller was
@@ -33,7 +33,7 @@
     spend: Callable[[Call], bool]
     give_back: Callable[[Call, str, int], None]
     may_retry: Callable[[Call], bool]
-    may_replace_fence: Callable[[Call], bool]
+    is_fence_known: Callable[[Call], bool]
     refuse: Callable[[Call], Refusal | None]
     note_refusal: Callable[[Call, Refusal], None]
     mint: Callable[[str, int, str], Fence]
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -57,7 +57,7 @@
             call.ledger_id, attempt_id, unused
         ),
         may_retry=partial(_may_retry, around),
-        may_replace_fence=partial(_may_replace_fence, around),
+        is_fence_known=partial(_is_fence_known, around),
         refuse=partial(_refuse, around),
         note_refusal=partial(_note_refusal, around),
         mint=partial(_mint, around),
@@ -135,10 +135,11 @@
     return around.state.resends.try_resend(NODE_CALLER, around.clock.now_ms())
 
 
-def _may_replace_fence(around: CallSurroundings, call: Call) -> bool:
+def _is_fence_known(around: CallSurroundings, call: Call) -> bool:
+    """Return whether a caller was told the fence, or a second nested copy holds it."""
     if not call.parent_id:
-        return False
-    return not around.state.contexts.is_shared(call.parent_id, call.key)
+        return True
+    return around.state.contexts.is_shared(call.parent_id, call.key)
 
 
 def _refuse(around: CallSurroundings, call: Call) -> Refusal | None:
--- /dev/null
+++ b/tests/cover/test_flow_intake.py
@@ -0,0 +1,32 @@
+from jacinthshed.internal.fence.path import MAX_KEY_CHARS, FreshKey, choose_path
+from jacinthshed.internal.flow.context import ParentContext
+from jacinthshed.internal.flow.intake import nested_key
+
+DEPTH = 23
+
+
+def parent_with(key):
+    return ParentContext(
+        request_id="r",
+        root_id="r",
+        root_hash=0,
+        rank=1,
+        route="book",
+        deadline_at_ms=0.0,
+        invested=0,
+        key=key,
+    )
+
+
+def test_keys_of_the_deepest_graph_stay_valid_and_apart():
+    seen = set()
+    for given in ("9f0c4a5e-0000-7000-8000-000000000001", ""):
+        key = "order-1"
+        for _ in range(DEPTH):
+            key = nested_key(parent_with(key), given, call_number=1)
+            path = choose_path(idempotent=False, require_key=True, key=key, fence="new")
+            assert path == FreshKey(key)
+            assert len(key) <= MAX_KEY_CHARS
+            assert key not in seen
+            seen.add(key)
+    assert len(seen) == 2 * DEPTH
