--- a/benchmarks/measures/__main__.py
+++ b/benchmarks/measures/__main__.py
@@ -49,7 +49,15 @@
     return Row(*job[:3], summarize(world, world.run()))
 
 
-def main(*, out: Path, seed: int = 1, jobs: int = 2, stack: str = "") -> None:
+def main(
+    *,
+    out: Path,
+    seed: int = 1,
+    jobs: int = 2,
+    deployment: str = "",
+    case: str = "",
+    stack: str = "",
+) -> None:
     """Run the measures.
 
     Parameters
@@ -60,11 +68,16 @@
         Seed of every run.
     jobs
         Runs at the same time.
+    deployment
+        Only runs of this deployment; all if empty.
+    case
+        Only runs of this case, as "demand 2x"; all if empty.
     stack
         Only runs of this stack, as "jacinthshed" or "no layer"; all if empty.
     """
     out.mkdir(parents=True, exist_ok=True)
-    chosen = [job for job in all_jobs(seed) if stack in ("", job.stack)]
+    wanted = (deployment, case, stack)
+    chosen = [job for job in all_jobs(seed) if _matches(job, wanted)]
     with ProcessPoolExecutor(jobs) as pool:
         rows = list(pool.map(run_job, chosen))
     write_csv(rows, out / "measures.csv")
@@ -74,5 +87,9 @@
     print(table, end="")
 
 
+def _matches(job: Job, wanted: tuple[str, ...]) -> bool:
+    return all(name in ("", of_job) for name, of_job in zip(wanted, job, strict=False))
+
+
 if __name__ == "__main__":
     cyclopts.run(main)
