--- a/src/jacinthshed/internal/admission/limit.py
+++ b/src/jacinthshed/internal/admission/limit.py
@@ -42,7 +42,8 @@
     @property
     def value(self) -> int:
         """The limit in force."""
-        return max(1, self._policy.min_limit, int(self._limit))
+        lowest = max(1, self._policy.min_limit)
+        return min(self._slots, max(lowest, int(self._limit)))
 
     @property
     def slots(self) -> int:
--- a/tests/cover/test_levels.py
+++ b/tests/cover/test_levels.py
@@ -12,7 +12,9 @@
     ShedLevel,
     Start,
 )
+from jacinthshed.internal.admission.level_control import LevelControl, QueueState
 from jacinthshed.internal.admission.levels import FRESH_MS, PROBE_FRACTION
+from jacinthshed.internal.admission.work import order_of
 from tests.common.admission import fixed_limit_policy, work
 
 TTL_MS = 1_000.0
@@ -139,6 +141,26 @@
     assert admission.level(1_000.0).sheds(3, 0)
 
 
+@settings(max_examples=100)
+@given(
+    arrivals=st.lists(st.tuples(st.integers(1, 3), hashes), min_size=1, max_size=20),
+    free=st.integers(-10, 3),
+    last_rank=st.integers(1, 3),
+)
+def test_a_level_does_not_close_on_what_goes_before_the_last_entry(
+    arrivals, free, last_rank
+):
+    """Also when nothing ended in the window, as after the limit was lowered."""
+    control = LevelControl()
+    queue = QueueState(free=free, middle=None, last=order_of(work(0, rank=last_rank)))
+    control.renew(0.0, queue)
+    for rank, root_hash in arrivals:
+        control.note_arrival(1.0, rank, root_hash)
+    control.note_shed()
+    control.renew(1_000.0, queue)
+    assert control.level >= ShedLevel(last_rank, 0)
+
+
 def test_a_leaving_target_sheds_all():
     target = Target(slots=1, hold_ms=20.0)
     target.admission.drain(0.0)
--- a/tests/cover/test_limit.py
+++ b/tests/cover/test_limit.py
@@ -104,3 +104,8 @@
     for _ in range(1_000):
         limit.on_done(0.0, 0.1, Outcome.FAILED, route="route")
     assert set(_run(limit, 50, _unloaded)) == {SLOTS}
+
+
+def test_a_minimum_above_the_slots_does_not_raise_the_limit():
+    limit = AdaptiveLimit(slots=2, policy=AdmissionPolicy(min_limit=9))
+    assert limit.value == 2
