--- /dev/null
+++ b/src/jacinthshed/internal/flow/fenced.py
@@ -0,0 +1,193 @@
+"""Flows of a non-idempotent call.
+
+From the moment at which a fence is known to anybody but this node, nothing that this
+node did or did not send proves that the request did not run: a copy may have come
+through another entry node. From then on only the fence's own target can prove it.
+"""
+
+from collections.abc import Generator, Iterator
+
+from ..fence.fence import Fence, decode_fence, encode_fence
+from ..fence.revocation import (
+    Found,
+    MayHaveRun,
+    Outcome as RevocationOutcome,
+    ProvenNotRun,
+    Revocation,
+    Superseded,
+)
+from ..verdict import Reason, Refusal, Verdict
+from .call import Attempt, Call
+from .idempotent import CallFlow
+from .replies import is_whole, refusal_of
+from .retry_rules import NO_TARGET, is_retryable
+from .steps import (
+    AllAsked,
+    Announce,
+    AskAll,
+    CallEnd,
+    Event,
+    Exchange,
+    LinkReady,
+    Pause,
+    Ready,
+    Replied,
+    Step,
+    TimedOut,
+)
+from .tools import CallTools
+
+REJOIN_WAIT_MS = 100.0
+REVOKE_RETRY_AFTER_MS = 1_000
+
+
+def run_with_fence(call: Call, tools: CallTools, fence: Fence, token: str) -> CallFlow:
+    """Submit under ``fence``, joining again by a new link when one breaks."""
+    attempt_id = f"{call.request_id}.{fence.nonce}"
+    attempt = Attempt(attempt_id, tools.split(call, attempt_id), token)
+    while True:
+        event = yield Ready(fence.host)
+        if isinstance(event, TimedOut):
+            return _late(token)
+        if not isinstance(event, LinkReady):
+            yield Pause(REJOIN_WAIT_MS)
+            continue
+        if event.incarnation != fence.incarnation:
+            return _other_incarnation(token)
+        event = yield Exchange(fence.host, tools.frame(call, attempt))
+        if isinstance(event, TimedOut):
+            return _late(token)
+        if isinstance(event, Replied) and is_whole(event.reply):
+            return _end_of(call, tools, attempt_id, event, token)
+        # The allowance travelled with the first copy; a further copy takes none.
+        attempt = attempt._replace(allowance=0)
+        tools.log("rejoin", call=call, host=fence.host, reason="link broke")
+
+
+def run_new(call: Call, tools: CallTools, ballot: str = "") -> CallFlow:
+    """Mint a fence and run under it, at the key's home first."""
+    hosts = _hosts(call, tools)
+    fence = yield from _mint_at_next(call, tools, hosts, ballot)
+    if fence is None:
+        return CallEnd(None, NO_TARGET)
+    while True:
+        token = encode_fence(fence)
+        yield Announce(token)
+        end = yield from run_with_fence(call, tools, fence, token)
+        if not _may_go_on(call, tools, end):
+            return end
+        successor = yield from _mint_at_next(call, tools, hosts, ballot)
+        # Asked again, as another copy may have taken the fence up meanwhile.
+        if successor is None or not tools.may_replace_fence(call):
+            return end
+        if not tools.spend(call):
+            return end
+        tools.log("retry", call=call, host=successor.host, reason="not run")
+        fence = successor
+
+
+def run_bare(call: Call, tools: CallTools) -> CallFlow:
+    """Prove that the key never ran before running it, or find where it did."""
+    above = ""
+    while True:
+        ballot = tools.next_ballot(above)
+        revocation = Revocation(
+            request_id=f"{call.request_id}.{ballot}",
+            key=call.key,
+            ballot=ballot,
+            targets=tools.revoke_targets(call),
+            key_lifetime_ms=tools.key_lifetime_ms(),
+        )
+        answered = yield AskAll(tuple(revocation.frames()))
+        _note_answers(revocation, answered)
+        outcome = revocation.outcome()
+        if isinstance(outcome, ProvenNotRun):
+            return (yield from run_new(call, tools, ballot))
+        if isinstance(outcome, Found):
+            fence = decode_fence(outcome.fence).unwrap()
+            return (yield from run_with_fence(call, tools, fence, outcome.fence))
+        if not isinstance(outcome, Superseded) or not tools.spend(call):
+            return _unproven(outcome)
+        above = outcome.ballot
+
+
+def _end_of(
+    call: Call, tools: CallTools, attempt_id: str, event: Replied, token: str
+) -> CallEnd:
+    reply = event.reply
+    tools.give_back(call, attempt_id, reply.allowance)
+    if reply.status:
+        return CallEnd(reply, None, token)
+    return CallEnd(None, refusal_of(reply), token)
+
+
+def _may_go_on(call: Call, tools: CallTools, end: CallEnd) -> bool:
+    if end.refusal is None or end.refusal.verdict is not Verdict.NOT_RUN:
+        return False
+    if not is_retryable(end.refusal) or not tools.may_replace_fence(call):
+        return False
+    return tools.may_retry(call)
+
+
+def _hosts(call: Call, tools: CallTools) -> Iterator[str]:
+    """Yield the key's home, then targets by load, each once."""
+    tried: frozenset[str] = frozenset()
+    home = next(iter(tools.home_order(call)), None)
+    if home is not None:
+        tried |= {home}
+        _log_home(call, tools, home)
+        yield home
+    while (host := tools.pick(call, tried)) is not None:
+        tried |= {host}
+        yield host
+
+
+def _log_home(call: Call, tools: CallTools, home: str) -> None:
+    """Log the choice of the home, as other choices are logged by ``pick``."""
+    fields = {"service": call.service, "host": home, "candidates": (home,)}
+    tools.log("routing", call=call, **fields, reason="home")
+
+
+def _mint_at_next(
+    call: Call, tools: CallTools, hosts: Iterator[str], ballot: str
+) -> Generator[Step, Event, Fence | None]:
+    for host in hosts:
+        event = yield Ready(host)
+        if isinstance(event, LinkReady):
+            return tools.mint(host, event.incarnation, ballot)
+        if isinstance(event, TimedOut):
+            return None
+    return None
+
+
+def _note_answers(revocation: Revocation, event: Event) -> None:
+    if not isinstance(event, AllAsked):
+        return
+    for host, answer in event.answers:
+        if answer is None:
+            revocation.on_unreachable(host)
+        else:
+            revocation.on_revoked(host, answer)
+
+
+def _unproven(outcome: RevocationOutcome) -> CallEnd:
+    detail = "it can't be proven that this key did not run: resend it later"
+    retry_after_ms = REVOKE_RETRY_AFTER_MS
+    if isinstance(outcome, MayHaveRun):
+        detail = f"it can't be proven that this key did not run: {outcome.detail}"
+        retry_after_ms = outcome.retry_after_ms
+    refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.UNPROVEN, retry_after_ms, detail)
+    return CallEnd(None, refusal)
+
+
+def _other_incarnation(token: str) -> CallEnd:
+    detail = "the node that this fence names has restarted and lost its records"
+    return _refuse(Reason.FENCE_INCARNATION, detail, token)
+
+
+def _late(token: str) -> CallEnd:
+    return _refuse(Reason.DEADLINE, "resend it with its fence", token)
+
+
+def _refuse(reason: Reason, detail: str, token: str) -> CallEnd:
+    return CallEnd(None, Refusal(Verdict.MAY_HAVE_RUN, reason, 0, detail), token)
--- /dev/null
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -0,0 +1,204 @@
+"""The functions that call flows draw on, over the state of one node."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
+
+from ..admission.shed_level import ShedLevel
+from ..bundle.model import FencePolicy
+from ..fence.fence import Fence, mint
+from ..fence.revocation import RevocationTarget
+from ..flow.call import Attempt, Call, submit_frame
+from ..flow.mark import mark_of
+from ..flow.policy import Policy
+from ..flow.tools import CallTools
+from ..quarantine.decisions import Quarantined
+from ..routing.rendezvous import home_order
+from ..verdict import Reason, Refusal, Verdict
+from ..wire.frames import Reply, Submit
+from .clock import Clock
+from .observer import ExchangeObserver
+from .state import NodeState
+
+NODE_CALLER = "node"
+RESEND_WAIT_MS = 2_000
+_NO_SERVICE = frozenset({Reason.UNREACHABLE, Reason.NO_BUNDLE, Reason.CRASHED})
+
+LogDecision = Callable[..., None]
+
+
+class CallSurroundings(NamedTuple):
+    """What the tools of a call are bound to."""
+
+    state: NodeState
+    clock: Clock
+    policy: Callable[[], Policy | None]
+    log: LogDecision
+
+    @property
+    def fences(self) -> FencePolicy:
+        """The times of fences that are in force."""
+        current = self.policy()
+        return current.bundle.fence if current else FencePolicy()
+
+
+def make_tools(around: CallSurroundings) -> CallTools:
+    """Return the tools of this node's entry and egress."""
+    state, clock = around.state, around.clock
+    return CallTools(
+        now_ms=clock.now_ms,
+        wall_ms=clock.wall_ms,
+        pick=partial(_pick, around),
+        home_order=partial(_home_order, around),
+        revoke_targets=partial(_revoke_targets, around),
+        split=partial(_split, around),
+        spend=lambda call: state.ledger.spend(call.ledger_id),
+        give_back=lambda call, attempt_id, unused: state.ledger.give_back(
+            call.ledger_id, attempt_id, unused
+        ),
+        may_retry=partial(_may_retry, around),
+        may_replace_fence=partial(_may_replace_fence, around),
+        refuse=partial(_refuse, around),
+        note_refusal=partial(_note_refusal, around),
+        mint=partial(_mint, around),
+        next_ballot=lambda above: state.ballots.make(clock.wall_ms(), above=above),
+        key_lifetime_ms=lambda: around.fences.key_lifetime_ms,
+        frame=partial(_frame, around),
+        log=partial(_log_call, around),
+    )
+
+
+def make_observer(around: CallSurroundings, call: Call) -> ExchangeObserver:
+    """Return what learns loads and shed levels from the exchanges of ``call``."""
+    state = around.state
+
+    def ended(host: str, reply: Reply | None) -> None:
+        now_ms = around.clock.now_ms()
+        state.picker.done(host)
+        if reply is None:
+            return
+        if reply.reason in _NO_SERVICE:
+            # It answers fast and would otherwise draw more and more work.
+            state.picker.unreachable(now_ms, host)
+            return
+        state.picker.note_reply(now_ms, host, reply.load)
+        level = ShedLevel(reply.shed_rank, reply.shed_hash)
+        state.levels.note(now_ms, call.route, host, level)
+        if reply.reason in (Reason.SHED, Reason.LEAVING):
+            state.picker.refused(now_ms, host, reply.retry_after_ms)
+
+    return ExchangeObserver(sent=state.picker.sent, ended=ended)
+
+
+def _pick(around: CallSurroundings, call: Call, tried: frozenset[str]) -> str | None:
+    now_ms = around.clock.now_ms()
+    choice = around.state.picker.pick(now_ms, call.service, tried)
+    around.log(
+        "routing",
+        request_id=call.request_id,
+        service=call.service,
+        host=choice.host if choice else None,
+        candidates=choice.candidates if choice else (),
+        reason=choice.reason if choice else "no target",
+    )
+    return choice.host if choice else None
+
+
+def _home_order(around: CallSurroundings, call: Call) -> list[str]:
+    members = around.state.view.members(call.service)
+    return home_order(call.key, [member.host for member in members])
+
+
+def _revoke_targets(
+    around: CallSurroundings, call: Call
+) -> tuple[RevocationTarget, ...]:
+    view = around.state.view
+    lifetime_ms = around.fences.key_lifetime_ms
+    gone = view.departed(call.service, lifetime_ms, around.clock.now_ms())
+    departed = {record.host for record in gone}
+    asked = [RevocationTarget(host, False) for host in _home_order(around, call)]
+    return (*asked, *(RevocationTarget(host, True) for host in departed))
+
+
+def _split(around: CallSurroundings, call: Call, attempt_id: str) -> int:
+    policy = around.policy()
+    route = policy.bundle.routes.get(call.route) if policy else None
+    calls_others = route is not None and bool(route.calls)
+    return around.state.ledger.split(
+        call.ledger_id, attempt_id, calls_others=calls_others
+    )
+
+
+def _may_retry(around: CallSurroundings, call: Call) -> bool:
+    if not around.state.suspects.may_retry(mark_of(call)):
+        return False
+    return around.state.resends.try_resend(NODE_CALLER, around.clock.now_ms())
+
+
+def _may_replace_fence(around: CallSurroundings, call: Call) -> bool:
+    if not call.parent_id:
+        return False
+    return not around.state.contexts.is_shared(call.parent_id, call.key)
+
+
+def _refuse(around: CallSurroundings, call: Call) -> Refusal | None:
+    now_ms = around.clock.now_ms()
+    state = around.state
+    mark = mark_of(call)
+    state.resends.fresh(NODE_CALLER)
+    check = state.suspects.check(now_ms, mark)
+    if isinstance(check, Quarantined):
+        return Refusal(Verdict.NOT_RUN, Reason.QUARANTINED, check.retry_after_ms)
+    if not call.parent_id and not _is_within_resends(around, call):
+        around.log("resend_refused", request_id=call.request_id, caller=call.caller)
+        return Refusal(Verdict.NOT_RUN, Reason.RETRY_LIMIT, RESEND_WAIT_MS)
+    wait_ms = state.levels.refuses(
+        now_ms, (call.route,), call.rank, call.root_hash, state.random.random()
+    )
+    if wait_ms is None:
+        return None
+    around.log("shed_at_entry", request_id=call.request_id, route=call.route)
+    return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
+
+
+def _is_within_resends(around: CallSurroundings, call: Call) -> bool:
+    """Return whether the caller may send this now; a fresh request always may."""
+    state = around.state
+    now_ms = around.clock.now_ms()
+    if call.is_resend or state.refused.is_early(now_ms, call.key):
+        return state.resends.try_resend(call.caller, now_ms)
+    state.resends.fresh(call.caller)
+    return True
+
+
+def _note_refusal(around: CallSurroundings, call: Call, refusal: Refusal) -> None:
+    now_ms = around.clock.now_ms()
+    around.state.refused.note(now_ms, call.key, refusal.retry_after_ms)
+
+
+def _mint(around: CallSurroundings, host: str, incarnation: int, ballot: str) -> Fence:
+    return mint(
+        host=host,
+        incarnation=incarnation,
+        wall_ms=around.clock.wall_ms(),
+        lifetime_ms=around.fences.lifetime_ms,
+        ballot=ballot,
+        random=around.state.random,
+    )
+
+
+def _frame(around: CallSurroundings, call: Call, attempt: Attempt) -> Submit:
+    order = around.state.store.order
+    return submit_frame(
+        call,
+        attempt,
+        now_ms=around.clock.now_ms(),
+        version=order.version,
+        digest=order.digest,
+    )
+
+
+def _log_call(
+    around: CallSurroundings, event: str, *, call: Call, **fields: object
+) -> None:
+    around.log(event, request_id=call.request_id, route=call.route, **fields)
--- /dev/null
+++ b/src/jacinthshed/internal/node/node.py
@@ -0,0 +1,291 @@
+"""One node: its listeners, its tasks and its graceful shutdown."""
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import NamedTuple
+
+import trio
+
+from ..bundle.model import DrainPolicy, SizeLimits
+from ..bundle.signing import TrustedOperators
+from ..bundle.store import BundleStore
+from ..http.connection_limit import limit_connections
+from ..http.drain import Drain
+from ..http.limits import HttpLimits
+from ..http.network import Network, StreamHandler, peer_name
+from ..http.server import RequestHandler, serve_connection
+from ..membership.host_list import should_leave
+from ..membership.record_order import LIVE
+from ..settings.address import Address
+from ..settings.model import NodeSettings
+from ..telemetry.metrics import Metrics
+from ..wire.frames import MemberRecord
+from .backend_health import build_health_task, is_listening
+from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
+from .parts import NodeParts, Surroundings, build_parts
+from .platform_parts import build_platform_tasks, build_reader, read_listed_hosts
+from .policy_holder import PolicyHolder
+from .state import build_state
+
+BOOTSTRAP_TIMEOUT_S = 6.0
+LEAVE_GRACE_S = 0.5
+DRAIN_POLL_S = 0.02
+FLUSH_TIMEOUT_S = 1.0
+
+LogDecision = Callable[..., None]
+
+
+class NodeAddresses(NamedTuple):
+    """The addresses that a node's listeners have."""
+
+    entry: str
+    egress: str
+    peer: str
+
+
+class Node:
+    """Runs beside one backend server, or by itself as an entry only."""
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        trusted: TrustedOperators,
+        network: Network,
+        random: Random,
+        log: LogDecision,
+        clock: Clock = SYSTEM_CLOCK,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._settings = settings
+        self._trusted = trusted
+        self._network = network
+        self._random = random
+        self._log = log
+        self._clock = clock
+        self._metrics = metrics or Metrics()
+        self._started_ms = clock.now_ms()
+        self._parts: NodeParts | None = None
+        self._wired = trio.Event()
+        self._leave_asked = trio.Event()
+        self._entry_drain = Drain()
+        # The egress is never drained: a request that runs here may still need it.
+        self._egress_drain = Drain()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the node has begun to leave."""
+        return self._leave_asked.is_set()
+
+    def gauges(self) -> dict[str, float]:
+        """Return the node's present figures, by their names as metrics."""
+        if self._parts is None:
+            return {}
+        state = self._parts.state
+        return {
+            "admission.limit": state.admission.limit,
+            "admission.running": state.admission.in_flight,
+            "admission.waiting": state.admission.waiting,
+            "calls.in_flight": self._parts.gateway.in_flight,
+            "members": len(state.view.hosts()) + 1,
+            "bundle.version": self._parts.holder.order.version,
+        }
+
+    def leave(self) -> None:
+        """Begin a graceful shutdown; ``run`` returns at its end."""
+        self._leave_asked.set()
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[NodeAddresses] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until the node has left; reports its addresses when it listens.
+
+        Raises ``OSError`` when an address can't be listened on.
+        """
+        listen = self._settings.listen
+        async with trio.open_nursery() as nursery:
+            peer: str = await nursery.start(
+                self._listen, str(listen.peer), self._accept_peer
+            )
+            parts = self._build(peer)
+            entry = await self._serve_http(nursery, listen.entry, self._serve_entry)
+            egress = await self._serve_http(nursery, listen.egress, self._serve_egress)
+            self._start_tasks(nursery, parts)
+            await self._bootstrap(nursery, parts)
+            task_status.started(NodeAddresses(entry, egress, peer))
+            await self._leave_asked.wait()
+            await self._shut_down(parts)
+            nursery.cancel_scope.cancel()
+
+    def _build(self, peer_address: str) -> NodeParts:
+        settings = self._settings
+        wall_ms = self._clock.wall_ms()
+        record = MemberRecord(
+            host=settings.host,
+            incarnation=wall_ms,
+            state=LIVE,
+            revision=0,
+            service=settings.service,
+            availability_zone=settings.availability_zone,
+            peer_address=peer_address,
+            started_ms=wall_ms,
+        )
+        store = BundleStore(trusted=self._trusted, deployment=settings.deployment)
+        holder = PolicyHolder(store=store, log=self._log)
+        state = build_state(
+            record=record,
+            store=store,
+            random=self._random,
+            now_ms=self._started_ms,
+            policy=holder.current,
+            log=self._log,
+        )
+        self._reader = build_reader(settings, self._random, self._clock)
+        self._around = Surroundings(
+            settings=settings,
+            network=self._network,
+            clock=self._clock,
+            metrics=self._metrics,
+            log=self._log,
+            is_leaving=lambda: self.is_leaving,
+            is_backend_up=self._is_backend_up,
+        )
+        parts = build_parts(
+            around=self._around, state=state, holder=holder, reader=self._reader
+        )
+        self._parts = parts
+        self._wired.set()
+        return parts
+
+    def _start_tasks(self, nursery: trio.Nursery, parts: NodeParts) -> None:
+        parts.links.start(nursery)
+        parts.dispatcher.start(nursery)
+        if self._settings.backend is not None:
+            task = build_health_task(self._around, self._settings.backend, parts.state)
+            nursery.start_soon(task.run)
+        nursery.start_soon(parts.dispatcher.expire_waiting)
+        nursery.start_soon(parts.membership.run)
+
+    async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
+        """Hear peers and the platform before serving, but not for ever.
+
+        The platform may be stale, so that its bundle is put in force only when the
+        peers had their chance to show a higher one.
+        """
+        tasks = build_platform_tasks(
+            around=self._around,
+            holder=parts.holder,
+            reader=self._reader,
+            on_hosts=self._take_host_list,
+        )
+        for task in tasks:
+            nursery.start_soon(task.run)
+        with trio.move_on_after(BOOTSTRAP_TIMEOUT_S):
+            for task in tasks:
+                await task.tried.wait()
+            await parts.membership.joined()
+        parts.holder.begin_serving()
+        self._log("serving", host=self._settings.host, version=parts.holder.order[0])
+
+    def _take_host_list(self, value: bytes) -> None:
+        listed = read_listed_hosts(value)
+        if listed is None or self._parts is None:
+            self._log("host_list_refused", reason="not a JSON list of hosts")
+            return
+        own_leaving = self._parts.membership.heard_list(listed)
+        uptime_ms = self._clock.now_ms() - self._started_ms
+        if own_leaving and should_leave(uptime_ms):
+            self._log("leaving", reason="the platform's list shows this host leaving")
+            self.leave()
+
+    async def _shut_down(self, parts: NodeParts) -> None:
+        """Leave without cutting a request: tell, wait until peers know, finish."""
+        self._log("leaving", host=self._settings.host)
+        parts.membership.announce(parts.state.view.leave(self._clock.now_ms()))
+        # Peers learn of the leave in these moments; what they still send is served.
+        await trio.sleep(LEAVE_GRACE_S)
+        parts.state.check.refuse_new_work()
+        self._entry_drain.start()
+        policy = parts.holder.current()
+        limit_ms = (policy.bundle.drain if policy else DrainPolicy()).limit_ms
+        with trio.move_on_after(limit_ms / MS_PER_S):
+            while self._is_busy(parts):
+                await trio.sleep(DRAIN_POLL_S)
+        parts.membership.announce(parts.state.view.exit(self._clock.now_ms()))
+        with trio.move_on_after(FLUSH_TIMEOUT_S):
+            for link in parts.links.streams():
+                await link.flushed()
+        self._log("left", host=self._settings.host)
+
+    def _is_busy(self, parts: NodeParts) -> bool:
+        """Return whether a request is in hand, up to the last byte of its answer."""
+        if parts.state.target.jobs or parts.gateway.in_flight:
+            return True
+        return bool(self._entry_drain.busy or self._egress_drain.busy)
+
+    async def _accept_peer(self, stream: trio.abc.Stream) -> None:
+        await self._wired.wait()
+        assert self._parts is not None
+        await self._parts.links.accept(stream)
+
+    async def _serve_entry(self, stream: trio.abc.Stream) -> None:
+        assert self._parts is not None
+        caller = peer_name(stream)
+        handler = partial(self._parts.gateway.serve_entry, caller=caller)
+        await self._serve(stream, handler, self._entry_drain)
+
+    async def _serve_egress(self, stream: trio.abc.Stream) -> None:
+        assert self._parts is not None
+        handler = self._parts.gateway.serve_egress
+        await self._serve(stream, handler, self._egress_drain)
+
+    async def _serve(
+        self, stream: trio.abc.Stream, handler: RequestHandler, drain: Drain
+    ) -> None:
+        http = self._settings.http
+        limits = HttpLimits(
+            head_bytes=http.head_bytes,
+            body_bytes=self._body_bytes(),
+            idle_ms=http.idle_ms,
+            read_ms=http.read_ms,
+        )
+        await serve_connection(
+            stream,
+            handler,
+            limits=limits,
+            drain=drain,
+            cancel_on_disconnect=True,
+        )
+
+    def _body_bytes(self) -> int:
+        policy = self._parts.holder.current() if self._parts else None
+        return (policy.bundle.sizes if policy else SizeLimits()).request_bytes
+
+    async def _serve_http(
+        self,
+        nursery: trio.Nursery,
+        address: Address,
+        handler: StreamHandler,
+    ) -> str:
+        limit = self._settings.http.connections
+        limited = limit_connections(handler, max_connections=limit)
+        bound: str = await nursery.start(self._listen, str(address), limited)
+        return bound
+
+    async def _listen(
+        self,
+        address: str,
+        handler: StreamHandler,
+        *,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await self._network.listen(address, handler, task_status=task_status)
+
+    async def _is_backend_up(self) -> bool:
+        backend = self._settings.backend
+        if backend is None:
+            return False
+        return await is_listening(self._network, str(backend.address))
--- a/src/jacinthshed/internal/verdict.py
+++ b/src/jacinthshed/internal/verdict.py
@@ -24,6 +24,7 @@
     DEADLINE = "deadline"
     FENCE_EXPIRED = "fence-expired"
     FENCE_INCARNATION = "fence-incarnation"
+    UNPROVEN = "unproven"
     CANCELLED = "cancelled"
     QUARANTINED = "quarantined"
     MALFORMED = "malformed"
@@ -35,6 +36,7 @@
     NO_TARGET = "no-target"
     UNREACHABLE = "unreachable"
     BACKEND_FAILED = "backend-failed"
+    CRASHED = "crashed"
 
 
 HTTP_STATUS: dict[Reason, int] = {
@@ -43,6 +45,7 @@
     Reason.DEADLINE: 504,
     Reason.FENCE_EXPIRED: 409,
     Reason.FENCE_INCARNATION: 409,
+    Reason.UNPROVEN: 409,
     Reason.CANCELLED: 409,
     Reason.QUARANTINED: 422,
     Reason.MALFORMED: 400,
@@ -54,6 +57,7 @@
     Reason.NO_TARGET: 503,
     Reason.UNREACHABLE: 503,
     Reason.BACKEND_FAILED: 502,
+    Reason.CRASHED: 502,
 }
 
 
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -2,7 +2,7 @@
 
 Every frame is a named tuple of msgpack types, so that its layout on the wire is its
 field order. Times on the wire are spans in milliseconds, as clocks of two hosts
-differ; the only wall-clock times are inside fences.
+differ; wall-clock times are compared only with the skew that the bundle allows.
 """
 
 from typing import NamedTuple
@@ -10,27 +10,15 @@
 Header = tuple[bytes, bytes]
 
 
-class Hello(NamedTuple):
-    """First frame of each side of a link."""
-
-    protocol: int
-    host: str
-    incarnation: int
-    service: str
-    availability_zone: str
-    peer_address: str
-    leaving: bool
-    bundle_version: int
-    bundle_digest: bytes
-
-
 class Submit(NamedTuple):
     """One attempt of a request.
 
-    ``deadline_ms`` is the time left. ``root_hash`` orders requests of the same rank
-    alike at every layer. ``invested`` counts the calls of the same root that are
-    already done. ``allowance`` is what the sender gives away of the root's retries.
-    ``fence`` and ``key`` are empty for idempotent requests.
+    ``deadline_ms`` is the time left and ``deadline_wall_ms`` the same moment on the
+    sender's wall clock, so that a target which slept through it can tell.
+    ``root_hash`` orders requests of the same rank alike at every layer. ``invested``
+    counts the calls of the same root that are already done. ``allowance`` is what the
+    sender gives away of the root's retries. ``fence`` and ``key`` are empty for
+    idempotent requests.
     """
 
     request_id: str
@@ -43,6 +31,7 @@
     headers: tuple[Header, ...]
     body: bytes
     deadline_ms: int
+    deadline_wall_ms: int
     allowance: int
     invested: int
     key: str
@@ -123,8 +112,21 @@
     started_ms: int
 
 
+class Hello(NamedTuple):
+    """First frame of each side of a link."""
+
+    protocol: int
+    record: MemberRecord
+    bundle_version: int
+    bundle_digest: bytes
+
+
 class Gossip(NamedTuple):
-    """News about members, with a digest of the sender's whole view."""
+    """News about members, with a digest of the sender's whole view.
+
+    ``platform_age_ms`` is how long ago the platform last answered anybody that the
+    sender heard of, or -1.
+    """
 
     view_digest: int
     records: tuple[MemberRecord, ...]
@@ -132,6 +134,7 @@
     bundle_version: int
     bundle_digest: bytes
     suspects: tuple[tuple[int, str, str, int], ...]
+    platform_age_ms: int = -1
 
 
 class Heartbeat(NamedTuple):
