--- a/tests/common/real_deployment.py
+++ b/tests/common/real_deployment.py
@@ -108,6 +108,11 @@
         del total[""]
         return total
 
+    def log(self, host):
+        """Return what the node of ``host`` has logged."""
+        lines = (self.folder / f"{host}.node.log").read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
     def set_platform_mode(self, mode):
         _exchange(self.platform_address, "POST", "/admin/mode", mode)
 
--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -129,6 +129,40 @@
         run(main)
 
 
+def test_stopped_entry_picks_no_host_that_left_meanwhile(deploy):
+    with deploy(service_ms=20.0) as deployment:
+
+        async def main():
+            caller = deployment.caller("orders-0")
+
+            async def lookups():
+                async with trio.open_nursery() as nursery:
+                    for _ in range(20):
+                        nursery.start_soon(caller.request, "GET", "/orders/lookup")
+
+            # Opens connections that the later ones go through.
+            await lookups()
+            entry, leaving = deployment.node("orders-0"), deployment.node("orders-2")
+            entry.signal(signal.SIGSTOP)
+            leaving.signal(signal.SIGTERM)
+            await trio.to_thread.run_sync(leaving.child.wait)
+            async with trio.open_nursery() as nursery:
+                # These wait in the sockets of the stopped process.
+                nursery.start_soon(lookups)
+                await trio.sleep(1)
+                entry.signal(signal.SIGCONT)
+            await trio.sleep(0.5)
+            events = deployment.log("orders-0")
+            names = [entry["event"] for entry in events]
+            since = events[names.index("pause_noticed") :]
+            picked = [entry for entry in since if entry["event"] == "routing"]
+            assert len(picked) >= 20
+            stale = [entry for entry in picked if "orders-2" in entry["candidates"]]
+            assert stale == [], (len(stale), stale[0])
+
+        run(main)
+
+
 def test_silent_connection(deploy):
     relays = {}
 
