Revocations ask every target that may have run a key; work that is shed below is refused above

Holes named by the review of the fences, each closed in the node: targets that are avoided on a hint or leaving are asked as well; a view that has not agreed with a peer for long proves nothing; the wait at the entry counts; the window of departed targets covers a fence's life; a replacing fence inherits its key's birth; incarnations carry random bits, as two starts with one wrong clock could share a fence; a cancelled key that has ended is answered.

--- a/src/jacinthshed/internal/flow/fenced.py
+++ b/src/jacinthshed/internal/flow/fenced.py
@@ -68,7 +68,7 @@
 def run_new(call: Call, tools: CallTools, ballot: str = "") -> CallFlow:
     """Mint a fence and run under it, at the key's home first."""
     hosts = _hosts(call, tools)
-    fence = yield from _mint_at_next(call, tools, hosts, ballot)
+    fence = yield from _mint_at_next(call, tools, hosts, ballot, None)
     if fence is None:
         return CallEnd(None, NO_TARGET)
     while True:
@@ -77,7 +77,8 @@
         end = yield from run_with_fence(call, tools, fence, token)
         if not _may_go_on(call, tools, end):
             return end
-        successor = yield from _mint_at_next(call, tools, hosts, ballot)
+        born_ms = fence.born_ms
+        successor = yield from _mint_at_next(call, tools, hosts, ballot, born_ms)
         # Asked again, as another copy may have taken the fence up meanwhile.
         if successor is None or not _may_go_on(call, tools, end):
             return end
@@ -90,6 +91,7 @@
 def run_bare(call: Call, tools: CallTools) -> CallFlow:
     """Prove that the key never ran before running it, or find where it did."""
     above = ""
+    began_ms = tools.now_ms()
     while True:
         ballot = tools.next_ballot(above)
         revocation = Revocation(
@@ -98,9 +100,10 @@
             ballot=ballot,
             targets=tools.revoke_targets(call),
             key_lifetime_ms=tools.key_lifetime_ms(),
+            view_age_ms=tools.view_age_ms(),
         )
         answered = yield AskAll(tuple(revocation.frames()))
-        _note_answers(revocation, answered)
+        _note_answers(revocation, answered, tools.now_ms() - began_ms)
         outcome = revocation.outcome()
         if isinstance(outcome, ProvenNotRun):
             return (yield from run_new(call, tools, ballot))
@@ -152,25 +155,29 @@
 
 
 def _mint_at_next(
-    call: Call, tools: CallTools, hosts: Iterator[str], ballot: str
+    call: Call,
+    tools: CallTools,
+    hosts: Iterator[str],
+    ballot: str,
+    born_ms: int | None,
 ) -> Generator[Step, Event, Fence | None]:
     for host in hosts:
         event = yield Ready(host)
         if isinstance(event, LinkReady):
-            return tools.mint(host, event.incarnation, ballot)
+            return tools.mint(host, event.incarnation, ballot, born_ms)
         if isinstance(event, TimedOut):
             return None
     return None
 
 
-def _note_answers(revocation: Revocation, event: Event) -> None:
+def _note_answers(revocation: Revocation, event: Event, waited_ms: float) -> None:
     if not isinstance(event, AllAsked):
         return
     for host, answer in event.answers:
         if answer is None:
             revocation.on_unreachable(host)
         else:
-            revocation.on_revoked(host, answer)
+            revocation.on_revoked(host, answer, waited_ms=waited_ms)
 
 
 def _unproven(outcome: RevocationOutcome) -> CallEnd:
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -6,7 +6,7 @@
 from ..admission.outcome import Outcome
 from ..admission.shed_level import ShedLevel
 from ..admission.work import Work
-from ..fence.decisions import Cancelled
+from ..fence.decisions import Answered, Cancelled, Dead
 from ..fence.instant import Instant
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Cancel, Reply, Revoke, Submit
@@ -27,8 +27,9 @@
 
     Every method that takes a moment ``at`` returns what has to be done at that moment.
     ``fold_level`` combines this target's shed level with those of the services that a
-    route calls. ``list_age_ms`` is the time since a target of this service came or
-    went. ``log`` takes an event and its fields.
+    route calls; ``shed_below_ms`` gives the wait when one of them would shed the
+    request, so that no slot is spent on it here. ``list_age_ms`` is the time since a
+    target of this service came or went. ``log`` takes an event and its fields.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         incarnation: int,
         state: TargetState,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
+        shed_below_ms: Callable[[Instant, Submit], int | None],
         list_age_ms: Callable[[Instant], float],
         log: Callable[..., None],
     ) -> None:
@@ -53,6 +55,7 @@
             self._check,
         ) = state
         self._fold_level = fold_level
+        self._shed_below_ms = shed_below_ms
         self._list_age_ms = list_age_ms
         self._log = log
         self._jobs = JobTable()
@@ -80,6 +83,8 @@
             if copy is not None:
                 return copy
         refusal = self._check.refusal(at, submit, mark)
+        if refusal is None:
+            refusal = self._refuse_below(at, submit)
         if refusal is not None:
             return [self._refuse_arrival(at, link, submit, refusal)]
         return self._admit(at, link, submit, mark)
@@ -145,6 +150,13 @@
         """Return when ``expire`` has work to do next, or ``None``."""
         return self._admission.next_expiry_ms()
 
+    def _refuse_below(self, at: Instant, submit: Submit) -> Refusal | None:
+        """Return the refusal of work that a service below would shed."""
+        wait_ms = self._shed_below_ms(at, submit)
+        if wait_ms is None:
+            return None
+        return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms, "shed below")
+
     def _admit(
         self, at: Instant, link: int, submit: Submit, mark: int
     ) -> list[TargetAction]:
@@ -268,6 +280,11 @@
                 reply = refusal_reply(job.submit.request_id, outcome.refusal)
                 actions += self._reply_all(at, job, reply)
             return actions
+        if isinstance(outcome, Answered):
+            reply = outcome.reply._replace(request_id=cancel.request_id)
+            return [Send(link, reply)]
+        if isinstance(outcome, Dead):
+            return [Send(link, refusal_reply(cancel.request_id, outcome.refusal))]
         if job is not None:
             job.waiters.append(Waiter(link, cancel.request_id, 0))
         return []
--- a/src/jacinthshed/internal/flow/tools.py
+++ b/src/jacinthshed/internal/flow/tools.py
@@ -18,7 +18,9 @@
     ``split``, ``spend`` and ``give_back`` work on the call's allowance.
     ``may_retry`` tells whether load and suspicion permit one more attempt.
     ``is_fence_known`` tells whether anybody but this flow holds the call's fence.
-    ``next_ballot`` makes a ballot above the given one.
+    ``next_ballot`` makes a ballot above the given one. ``view_age_ms`` is how long ago
+    the view of the members agreed with a peer's. ``mint`` takes host, incarnation,
+    ballot and, for a fence that replaces another, when the key was first used.
     ``refuse`` gives the refusal when a service on the path would shed this call now or
     the request is in quarantine. ``note_refusal`` remembers the wait that a caller was
     asked for.
@@ -36,8 +38,9 @@
     is_fence_known: Callable[[Call], bool]
     refuse: Callable[[Call], Refusal | None]
     note_refusal: Callable[[Call, Refusal], None]
-    mint: Callable[[str, int, str], Fence]
+    mint: Callable[[str, int, str, int | None], Fence]
     next_ballot: Callable[[str], str]
     key_lifetime_ms: Callable[[], int]
+    view_age_ms: Callable[[], float]
     frame: Callable[[Call, Attempt], Submit]
     log: Callable[..., None]
--- a/src/jacinthshed/internal/membership/departures.py
+++ b/src/jacinthshed/internal/membership/departures.py
@@ -5,7 +5,7 @@
 
 from ..wire.frames import MemberRecord
 
-DEPARTURE_LIFETIME_MS = 3_600_000.0
+DEPARTURE_LIFETIME_MS = 7_200_000.0
 MAX_DEPARTURES = 4_096
 
 
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -159,6 +159,7 @@
         must_answer = gossip.want_all or self._is_behind(gossip)
         if gossip.view_digest == self._view.digest:
             self.is_joined = True
+            self._view.agreed_ms = now_ms
             self._reconciliation.agreed()
         else:
             records += newer_than(self._view, gossip.records)
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -34,6 +34,7 @@
         self._departures = Departures()
         self._digest = 0
         self.changed_ms = -inf
+        self.agreed_ms = -inf
         self.version = 0
         self._hosts: tuple[str, ...] = ()
         self._hosts_version = 0
@@ -88,6 +89,17 @@
         """Return how long ago a target of ``service`` last came, left or restarted."""
         return now_ms - self._service_changed_ms.get(service, -inf)
 
+    def askable(self, service: str) -> tuple[MemberRecord, ...]:
+        """Return all targets of ``service`` that can still be asked what they ran.
+
+        Those that are avoided on a hint, or leaving, are among them.
+        """
+        return tuple(
+            record
+            for record in self._records.values()
+            if record.service == service and record.state != GONE
+        )
+
     def departed(
         self, service: str, within_ms: float, now_ms: float
     ) -> tuple[MemberRecord, ...]:
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -63,6 +63,7 @@
         mint=partial(_mint, around),
         next_ballot=lambda above: state.ballots.make(clock.wall_ms(), above=above),
         key_lifetime_ms=lambda: around.fences.key_lifetime_ms,
+        view_age_ms=partial(_view_age_ms, around),
         frame=partial(_frame, around),
         log=partial(_log_call, around),
     )
@@ -113,11 +114,27 @@
     around: CallSurroundings, call: Call
 ) -> tuple[RevocationTarget, ...]:
     view = around.state.view
-    lifetime_ms = around.fences.key_lifetime_ms
-    gone = view.departed(call.service, lifetime_ms, around.clock.now_ms())
-    departed = {record.host for record in gone}
-    asked = [RevocationTarget(host, False) for host in _home_order(around, call)]
-    return (*asked, *(RevocationTarget(host, True) for host in departed))
+    fences = around.fences
+    askable = {record.host: record.incarnation for record in view.askable(call.service)}
+    # A fence runs for as long as it lives after its key was first sent.
+    window_ms = fences.key_lifetime_ms + fences.lifetime_ms
+    gone = view.departed(call.service, window_ms, around.clock.now_ms())
+    departed = {
+        record.host for record in gone if askable.get(record.host) != record.incarnation
+    }
+    asked = home_order(call.key, askable)
+    return (
+        *(RevocationTarget(host, False) for host in asked),
+        *(RevocationTarget(host, True) for host in sorted(departed)),
+    )
+
+
+def _view_age_ms(around: CallSurroundings) -> float:
+    """Return how long ago the view agreed with a peer's; 0 for a node by itself."""
+    view = around.state.view
+    if not view.hosts() and not view.contacts():
+        return 0.0
+    return around.clock.now_ms() - view.agreed_ms
 
 
 def _split(around: CallSurroundings, call: Call, attempt_id: str) -> int:
@@ -177,7 +194,13 @@
     around.state.refused.note(now_ms, call.key, refusal.retry_after_ms)
 
 
-def _mint(around: CallSurroundings, host: str, incarnation: int, ballot: str) -> Fence:
+def _mint(
+    around: CallSurroundings,
+    host: str,
+    incarnation: int,
+    ballot: str,
+    born_ms: int | None = None,
+) -> Fence:
     return mint(
         host=host,
         incarnation=incarnation,
@@ -185,6 +208,7 @@
         lifetime_ms=around.fences.lifetime_ms,
         ballot=ballot,
         random=around.state.random,
+        born_ms=born_ms,
     )
 
 
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -1,6 +1,7 @@
 """Keeps the view of the members current and the links alive."""
 
 from collections.abc import Callable, Iterable, Sequence
+from random import Random
 
 import trio
 
@@ -9,6 +10,7 @@
 from ..membership.failure import FailureTracker
 from ..membership.gossip import Gossiper
 from ..membership.host_list import ListedHost
+from ..membership.incarnation import new_incarnation
 from ..membership.pause import PauseDetector
 from ..membership.record_order import LIVE
 from ..membership.view import View
@@ -46,6 +48,7 @@
         seeds: Sequence[str],
         on_members: Callable[[Iterable[str]], None],
         on_renewed: Callable[[int], None],
+        random: Random,
         log: LogDecision,
     ) -> None:
         self._view = view
@@ -58,6 +61,7 @@
         self._seeds = seeds
         self._on_members = on_members
         self._on_renewed = on_renewed
+        self._random = random
         self._log = log
         self._nursery: trio.Nursery | None = None
         self._version = -1
@@ -173,7 +177,8 @@
 
         Open links carry the old incarnation in their hello, so that they are closed.
         """
-        incarnation = max(self._clock.wall_ms(), known_incarnation + 1)
+        wall_ms = self._clock.wall_ms()
+        incarnation = new_incarnation(wall_ms, self._random, above=known_incarnation)
         record = self._view.renew(now_ms, incarnation)
         self._log("incarnation_renewed", host=record.host, incarnation=incarnation)
         self._on_renewed(incarnation)
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -16,6 +16,7 @@
 from ..http.network import Network, StreamHandler, peer_name
 from ..http.server import RequestHandler, serve_connection
 from ..membership.host_list import should_leave
+from ..membership.incarnation import new_incarnation
 from ..membership.record_order import LIVE
 from ..settings.address import Address
 from ..settings.model import NodeSettings
@@ -125,7 +126,7 @@
         wall_ms = self._clock.wall_ms()
         record = MemberRecord(
             host=settings.host,
-            incarnation=wall_ms,
+            incarnation=new_incarnation(wall_ms, self._random),
             state=LIVE,
             revision=0,
             service=settings.service,
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -199,6 +199,7 @@
         seeds=[str(seed) for seed in around.settings.seeds],
         on_members=publish,
         on_renewed=state.renew,
+        random=state.random,
         log=around.log,
     )
 
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -33,7 +33,7 @@
 from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
-from ..wire.frames import MemberRecord
+from ..wire.frames import MemberRecord, Submit
 
 MEMO_MAX_ENTRIES = 100_000
 MEMO_MAX_BYTES = 32 * 1024 * 1024
@@ -92,6 +92,7 @@
         incarnation=record.incarnation,
         state=parts,
         fold_level=_level_folder(policy, levels),
+        shed_below_ms=_shed_below(policy, levels, random),
         list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         log=log,
     )
@@ -148,6 +149,23 @@
     )
 
 
+def _shed_below(
+    policy: Callable[[], Policy | None], levels: LevelTable, random: Random
+) -> Callable[[Instant, Submit], int | None]:
+    """Return the check of a request against the levels of the routes it will call."""
+
+    def shed_below_ms(at: Instant, submit: Submit) -> int | None:
+        current = policy()
+        route = current.bundle.routes.get(submit.route) if current else None
+        if route is None or not route.calls:
+            return None
+        return levels.refuses(
+            at.now_ms, route.calls, submit.rank, submit.root_hash, random.random()
+        )
+
+    return shed_below_ms
+
+
 def _level_folder(
     policy: Callable[[], Policy | None], levels: LevelTable
 ) -> Callable[[Instant, str, ShedLevel], ShedLevel]:
