--- /dev/null
+++ b/tests/common/fleet_host.py
@@ -0,0 +1,169 @@
+"""One host of a fleet: its backend server, its node and what they did."""
+
+import random
+from collections import Counter
+
+import trio
+import trio.testing
+
+from jacinthshed.internal.node.clock import Clock, trio_now_ms
+from jacinthshed.internal.node.node import Node
+from jacinthshed.internal.settings.address import Address
+from jacinthshed.internal.settings.model import (
+    BackendSettings,
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+)
+from jacinthshed.internal.standin.backend import egress_calls, serve_backend
+from jacinthshed.internal.standin.backend_options import BackendOptions
+from jacinthshed.internal.standin.backend_state import BackendState
+from tests.common.fleet_keys import OPERATORS, virtual_wall_ms
+
+
+class NoRecord:
+    """Hears what happens in a fleet, and notes none of it."""
+
+    def decided(self, host, event, fields):
+        """Note one decision line of a node."""
+
+    def starts(self, host):
+        """Return the count of starts, by key, of the backend servers of ``host``."""
+        return Counter()
+
+    def network(self, network, name):
+        """Return ``network`` as the caller ``name`` shall use it."""
+        return network
+
+
+class Host:
+    """One host: its backend server, its node and what they did."""
+
+    def __init__(self, fleet, number, host, service, zone):
+        self.fleet = fleet
+        self.host = host
+        self.service = service
+        self.zone = zone
+        self.ip = f"10.0.0.{number}"
+        self.wall_offset_ms = 0
+        self.mono_offset_ms = 0
+        self.decisions = []
+        self.node = None
+        self.node_ended = None
+        self.is_starting = False
+        self.backend = None
+        self._backend_scope = None
+        self._node_scope = None
+
+    @property
+    def entry(self):
+        return f"{self.ip}:1"
+
+    @property
+    def starts(self):
+        """How often each key was started by the backend servers of this host."""
+        return self.fleet.starts[self.host]
+
+    @property
+    def backend_is_down(self):
+        return f"{self.ip}:4" not in self.fleet.listeners
+
+    def settings(self, seeds=()):
+        return NodeSettings(
+            host=self.host,
+            availability_zone=self.zone,
+            service=self.service,
+            listen=ListenSettings(
+                entry=Address(self.ip, 1),
+                egress=Address(self.ip, 2),
+                peer=Address(self.ip, 3),
+            ),
+            backend=BackendSettings(address=Address(self.ip, 4)),
+            platform=PlatformSettings(address=Address("10.9.9.9", 80)),
+            operators=OPERATORS,
+            seeds=tuple(Address(self.fleet[host].ip, 3) for host in seeds),
+        )
+
+    async def start_backend(self):
+        options = BackendOptions(
+            host=self.host,
+            service=self.service,
+            **self.fleet.options.get(self.service, {}),
+        )
+        self.backend = BackendState(options=options)
+        self.backend.starts = self.fleet.starts.setdefault(
+            self.host, self.fleet.record.starts(self.host)
+        )
+        self._backend_scope = trio.CancelScope()
+        network = self.fleet.network_of(self)
+
+        async def serve(task_status):
+            with self._backend_scope:
+                await serve_backend(
+                    self.backend,
+                    network,
+                    f"{self.ip}:4",
+                    deeper=egress_calls(network, f"{self.ip}:2"),
+                    rng=random.Random(self.host),
+                    crash=self.crash_backend,
+                    task_status=task_status,
+                )
+
+        await self.fleet.nursery.start(serve)
+
+    def crash_backend(self):
+        """Kill the backend server, as a request that crashes it does."""
+        self.fleet.crashes.append(self.host)
+        # A dead process accepts nothing from this moment on.
+        self.fleet.listeners.pop(f"{self.ip}:4", None)
+        self._backend_scope.cancel()
+
+    async def start_node(self, seeds=()):
+        """Start the node; return when it serves."""
+        self.decisions.clear()
+        self.node = Node(
+            settings=self.settings(seeds),
+            trusted=OPERATORS,
+            network=self.fleet.network_of(self),
+            random=random.Random(f"{self.host}{trio.current_time()}"),
+            log=self.log,
+            clock=Clock(
+                lambda: trio_now_ms() + self.mono_offset_ms,
+                lambda: virtual_wall_ms() + self.wall_offset_ms,
+            ),
+        )
+        self._node_scope = trio.CancelScope()
+        self.node_ended = trio.Event()
+
+        async def run(task_status):
+            with self._node_scope:
+                await self.node.run(task_status=task_status)
+            self.node_ended.set()
+
+        await self.fleet.nursery.start(run)
+
+    def jump(self, jump_ms, *, wall_ms=None):
+        """Let this host's clocks jump, as when its process did not run."""
+        self.mono_offset_ms += jump_ms
+        self.wall_offset_ms += jump_ms if wall_ms is None else wall_ms
+
+    def kill_node(self):
+        """End the node at once, with all that it knew."""
+        self._node_scope.cancel()
+
+    def log(self, event, **fields):
+        self.decisions.append({"event": event, **fields})
+        self.fleet.record.decided(self.host, event, fields)
+
+    @property
+    def version(self):
+        """The version of the bundle in force on the node, by its decisions."""
+        accepted = [
+            entry["version"]
+            for entry in self.decided("bundle_offered")
+            if entry["outcome"] == "accepted"
+        ]
+        return accepted[-1] if accepted else 0
+
+    def decided(self, event):
+        return [entry for entry in self.decisions if entry["event"] == event]
--- a/tests/cover/test_node_scenarios.py
+++ b/tests/cover/test_node_scenarios.py
@@ -7,7 +7,8 @@
 import trio
 
 from jacinthshed.internal.standin.platform_state import Mode
-from tests.common.fleet import NoRecord, run_virtual, running_fleet
+from tests.common.fleet import run_virtual, running_fleet
+from tests.common.fleet_host import NoRecord
 from tests.common.load import Load
 from tests.common.policies import single_bundle, single_layout
 
