--- a/src/jacinthshed/internal/cli/signing_commands.py
+++ b/src/jacinthshed/internal/cli/signing_commands.py
@@ -73,8 +73,7 @@
 ) -> int:
     """Sign a bundle, or add a signature to a signed one.
 
-    The bundle is checked first. Show the bundle in force, so that a version which
-    isn't above it is refused.
+    The bundle is checked first. Show the one in force, so that its version is compared.
 
     Example: ``jacinthshed bundle sign bundle.yaml --operator ana --private-key ana.pem
     --in-force current.yaml --output signed.yaml``
@@ -99,18 +98,20 @@
         return refuse_bundle(read.failure())
     found = read.unwrap()
     above = _check_above(found, in_force, in_force_address)
-    key = read_private_key(private_key)
-    for step in (above, key):
-        if isinstance(step, Failure):
-            return refuse(step.failure())
-    return _write_signed(output, sign(found.envelope, operator, key.unwrap()), found)
+    key = above.bind(lambda _: read_private_key(private_key))
+    signed = key.map(lambda k: sign(found.envelope, operator, k))
+    return _write_signed(output, signed, found)
 
 
-def _write_signed(output: Path, signed: Envelope, found: BundleFile) -> int:
-    written = write_output(output, envelope_bytes(signed))
+def _write_signed(
+    output: Path, signed: Result[Envelope, str], found: BundleFile
+) -> int:
+    written = signed.bind(
+        lambda envelope: write_output(output, envelope_bytes(envelope))
+    )
     if isinstance(written, Failure):
         return refuse(written.failure())
-    signers = ", ".join(s.operator for s in signed.signatures)
+    signers = ", ".join(s.operator for s in signed.unwrap().signatures)
     print(f"{output}: version {found.bundle.version}, signed by {signers}")
     return EXIT_DONE
 
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -9,10 +9,10 @@
 from ..fence.fence import Fence, mint
 from ..fence.revocation import RevocationTarget
 from ..flow.call import Attempt, Call, submit_frame
+from ..flow.mark import mark_of
 from ..flow.policy import Policy
 from ..flow.tools import CallTools
 from ..quarantine.decisions import Quarantined
-from ..quarantine.fingerprint import fingerprint
 from ..routing.rendezvous import home_order
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply, Submit
@@ -57,7 +57,7 @@
             call.ledger_id, attempt_id, unused
         ),
         may_retry=partial(_may_retry, around),
-        may_replace_fence=partial(_may_replace_fence, around),
+        is_fence_known=partial(_is_fence_known, around),
         refuse=partial(_refuse, around),
         note_refusal=partial(_note_refusal, around),
         mint=partial(_mint, around),
@@ -130,21 +130,22 @@
 
 
 def _may_retry(around: CallSurroundings, call: Call) -> bool:
-    if not around.state.suspects.may_retry(_mark(call)):
+    if not around.state.suspects.may_retry(mark_of(call)):
         return False
     return around.state.resends.try_resend(NODE_CALLER, around.clock.now_ms())
 
 
-def _may_replace_fence(around: CallSurroundings, call: Call) -> bool:
+def _is_fence_known(around: CallSurroundings, call: Call) -> bool:
+    """Return whether a caller was told the fence, or a second nested copy holds it."""
     if not call.parent_id:
-        return False
-    return not around.state.contexts.is_shared(call.parent_id, call.key)
+        return True
+    return around.state.contexts.is_shared(call.parent_id, call.key)
 
 
 def _refuse(around: CallSurroundings, call: Call) -> Refusal | None:
     now_ms = around.clock.now_ms()
     state = around.state
-    mark = _mark(call)
+    mark = mark_of(call)
     state.resends.fresh(NODE_CALLER)
     check = state.suspects.check(now_ms, mark)
     if isinstance(check, Quarantined):
@@ -202,9 +203,3 @@
     around: CallSurroundings, event: str, *, call: Call, **fields: object
 ) -> None:
     around.log(event, request_id=call.request_id, route=call.route, **fields)
-
-
-def _mark(call: Call) -> int:
-    return fingerprint(
-        route=call.route, method=call.method, target=call.target, body=call.body
-    )
