Orders wait until another target knows this one; a long sleep closes callers' connections

A target that no other one has heard of could run an order that a revocation elsewhere, which doesn't ask it, proves never to have run: it now refuses fenced work until a link to another target of its service is open. An entry that slept for longer than a fence lives could take up a copy that waited in a connection while its key was proven new elsewhere: it now closes callers' connections first. Ruled out for both: the age of the target's list, which only targets that know of the change can vouch for. Before: each test of tests/cover/test_node_sessions.py fails without its change ('ran' for 'not-run'; an answer for a closed connection).

--- a/src/jacinthshed/internal/flow/arrival_check.py
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -16,15 +16,25 @@
 
 
 class ArrivalCheck:
-    """Checks arrivals against the bundle in force, the clocks and suspicions."""
+    """Checks arrivals against the bundle in force, the clocks and suspicions.
+
+    ``shed_below_ms`` gives the wait when a route that the request will call would shed
+    it, so that no slot is spent on it here.
+    """
 
     def __init__(
-        self, *, policy: Callable[[], Policy | None], suspects: Suspects
+        self,
+        *,
+        policy: Callable[[], Policy | None],
+        suspects: Suspects,
+        shed_below_ms: Callable[[Instant, Submit], int | None],
     ) -> None:
         self._policy = policy
         self._suspects = suspects
+        self._shed_below_ms = shed_below_ms
         self._refusing = False
         self.backend_is_up = True
+        self.is_known_to_service = False
 
     def refuse_new_work(self) -> None:
         """Refuse all new work from now on."""
@@ -40,6 +50,10 @@
         if not idempotent and not submit.fence:
             detail = "the target's bundle makes this route non-idempotent"
             return _refuse(Reason.KEY_REQUIRED, 0, detail)
+        if submit.fence and not self.is_known_to_service:
+            # A revocation that no other target can warn of this one would not ask it.
+            detail = "this target has not reached another one of its service yet"
+            return _refuse(Reason.UNREACHABLE, DOWN_RETRY_AFTER_MS, detail)
         if self._refusing:
             return _refuse(Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
         if not self.backend_is_up:
@@ -47,7 +61,7 @@
             return _refuse(Reason.UNREACHABLE, DOWN_RETRY_AFTER_MS, detail)
         if submit.deadline_ms <= 0 or self.is_late(at, submit):
             return _refuse(Reason.DEADLINE, 0)
-        return self._suspicion(at, mark)
+        return self._suspicion(at, mark) or self._shed_below(at, submit)
 
     def is_late(self, at: Instant, submit: Submit) -> bool:
         """Return whether the deadline passed by the wall clock, with the skew off."""
@@ -64,6 +78,10 @@
             return _refuse(Reason.SHED, ALONE_RETRY_AFTER_MS, detail)
         return None
 
+    def _shed_below(self, at: Instant, submit: Submit) -> Refusal | None:
+        wait_ms = self._shed_below_ms(at, submit)
+        return None if wait_ms is None else _refuse(Reason.SHED, wait_ms, "shed below")
+
 
 def _refuse(reason: Reason, retry_after_ms: int, detail: str = "") -> Refusal:
     return Refusal(Verdict.NOT_RUN, reason, retry_after_ms, detail)
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -27,9 +27,8 @@
 
     Every method that takes a moment ``at`` returns what has to be done at that moment.
     ``fold_level`` combines this target's shed level with those of the services that a
-    route calls; ``shed_below_ms`` gives the wait when one of them would shed the
-    request, so that no slot is spent on it here. ``list_age_ms`` is the time since a
-    target of this service came or went. ``log`` takes an event and its fields.
+    route calls. ``list_age_ms`` is the time since a target of this service came or
+    went. ``log`` takes an event and its fields.
     """
 
     def __init__(
@@ -39,7 +38,6 @@
         incarnation: int,
         state: TargetState,
         fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
-        shed_below_ms: Callable[[Instant, Submit], int | None],
         list_age_ms: Callable[[Instant], float],
         log: Callable[..., None],
     ) -> None:
@@ -55,7 +53,6 @@
             self._check,
         ) = state
         self._fold_level = fold_level
-        self._shed_below_ms = shed_below_ms
         self._list_age_ms = list_age_ms
         self._log = log
         self._jobs = JobTable()
@@ -71,8 +68,7 @@
 
     def submit(self, at: Instant, link: int, submit: Submit) -> list[TargetAction]:
         """Take an attempt that arrived on ``link``."""
-        known = self._jobs.by_request(submit.request_id)
-        if known is not None:
+        if known := self._jobs.by_request(submit.request_id):
             join(known, link, submit)
             return []
         mark = mark_of(submit)
@@ -83,8 +79,6 @@
             if copy is not None:
                 return copy
         refusal = self._check.refusal(at, submit, mark)
-        if refusal is None:
-            refusal = self._refuse_below(at, submit)
         if refusal is not None:
             return [self._refuse_arrival(at, link, submit, refusal)]
         return self._admit(at, link, submit, mark)
@@ -150,13 +144,6 @@
         """Return when ``expire`` has work to do next, or ``None``."""
         return self._admission.next_expiry_ms()
 
-    def _refuse_below(self, at: Instant, submit: Submit) -> Refusal | None:
-        """Return the refusal of work that a service below would shed."""
-        wait_ms = self._shed_below_ms(at, submit)
-        if wait_ms is None:
-            return None
-        return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms, "shed below")
-
     def _admit(
         self, at: Instant, link: int, submit: Submit, mark: int
     ) -> list[TargetAction]:
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -32,7 +32,7 @@
     """Owns gossip, pause detection and the ticking of links.
 
     ``on_members`` hears the services whose members changed, ``on_renewed`` a new
-    incarnation of this node.
+    incarnation of this node, ``on_pause`` the length of a pause that has just ended.
     """
 
     def __init__(
@@ -48,6 +48,7 @@
         seeds: Sequence[str],
         on_members: Callable[[Iterable[str]], None],
         on_renewed: Callable[[int], None],
+        on_pause: Callable[[float], None],
         random: Random,
         log: LogDecision,
     ) -> None:
@@ -61,6 +62,7 @@
         self._seeds = seeds
         self._on_members = on_members
         self._on_renewed = on_renewed
+        self._on_pause = on_pause
         self._random = random
         self._log = log
         self._nursery: trio.Nursery | None = None
@@ -107,6 +109,23 @@
             while self._view.contacts():
                 await trio.sleep(TICK_MS / MS_PER_S)
 
+    async def reach_service(self, service: str) -> None:
+        """Return when another target of ``service`` knows this node.
+
+        It returns at once when neither the members nor the platform's list names one.
+        """
+        while others := self._others_of(service):
+            for host in others:
+                if await self._links.open(host) is not None:
+                    return
+            await trio.sleep(SEED_INTERVAL_MS / MS_PER_S)
+
+    def _others_of(self, service: str) -> list[str]:
+        own_host = self._view.self_record.host
+        members = [record.host for record in self._view.members(service)]
+        listed = [c.host for c in self._view.contacts() if c.service == service]
+        return [host for host in (*members, *listed) if host != own_host]
+
     def heard_hello(self, record: MemberRecord) -> None:
         """Take in the record that a peer opened its link with."""
         self._failures.reached(record.host)
@@ -191,6 +210,7 @@
         if pause is None:
             return
         self._log("pause_noticed", length_ms=round(pause.length_ms))
+        self._on_pause(pause.length_ms)
         self._confirmed = trio.Event()
         self._send(self._gossiper.reconfirm(now_ms))
 
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -23,11 +23,13 @@
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
 from .backend_health import build_health_task, is_listening
+from .caller_connections import CallerConnections
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
 from .parts import NodeParts, Surroundings, build_parts
 from .platform_parts import build_platform_tasks, build_reader, read_listed_hosts
 from .policy_holder import PolicyHolder
 from .state import build_state
+from .status import node_gauges
 
 BOOTSTRAP_TIMEOUT_S = 6.0
 LEAVE_GRACE_S = 0.5
@@ -71,6 +73,7 @@
         self._wired = trio.Event()
         self._leave_asked = trio.Event()
         self._entry_drain = Drain()
+        self._callers = CallerConnections()
         # The egress is never drained: a request that runs here may still need it.
         self._egress_drain = Drain()
 
@@ -83,15 +86,8 @@
         """Return the node's present figures, by their names as metrics."""
         if self._parts is None:
             return {}
-        state = self._parts.state
-        return {
-            "admission.limit": state.admission.limit,
-            "admission.running": state.admission.in_flight,
-            "admission.waiting": state.admission.waiting,
-            "calls.in_flight": self._parts.gateway.in_flight,
-            "members": len(state.view.hosts()) + 1,
-            "bundle.version": self._parts.holder.order.version,
-        }
+        parts = self._parts
+        return node_gauges(parts.state, parts.holder, parts.gateway.in_flight)
 
     def leave(self) -> None:
         """Begin a graceful shutdown; ``run`` returns at its end."""
@@ -153,6 +149,7 @@
             log=self._log,
             is_leaving=lambda: self.is_leaving,
             is_backend_up=self._is_backend_up,
+            on_pause=self._after_pause,
         )
         parts = build_parts(
             around=self._around, state=state, holder=holder, reader=self._reader
@@ -189,8 +186,13 @@
                 await task.tried.wait()
             await parts.membership.joined()
         parts.holder.begin_serving()
+        nursery.start_soon(self._reach_service, parts)
         self._log("serving", host=self._settings.host, version=parts.holder.order[0])
 
+    async def _reach_service(self, parts: NodeParts) -> None:
+        await parts.membership.reach_service(self._settings.service)
+        parts.state.check.is_known_to_service = True
+
     def _take_host_list(self, value: bytes) -> None:
         listed = read_listed_hosts(value)
         if listed is None or self._parts is None:
@@ -236,7 +238,13 @@
         assert self._parts is not None
         caller = peer_name(stream)
         handler = partial(self._parts.gateway.serve_entry, caller=caller)
-        await self._serve(stream, handler, self._entry_drain)
+        with self._callers.connection():
+            await self._serve(stream, handler, self._entry_drain)
+
+    def _after_pause(self, length_ms: float) -> None:
+        policy = self._parts.holder.current() if self._parts else None
+        if policy is not None and length_ms > policy.bundle.fence.lifetime_ms:
+            self._callers.close_all()
 
     async def _serve_egress(self, stream: trio.abc.Stream) -> None:
         assert self._parts is not None
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -55,6 +55,7 @@
     log: LogDecision
     is_leaving: Callable[[], bool]
     is_backend_up: Callable[[], Awaitable[bool]]
+    on_pause: Callable[[float], None]
 
 
 class _Wiring:
@@ -199,6 +200,7 @@
         seeds=[str(seed) for seed in around.settings.seeds],
         on_members=publish,
         on_renewed=state.renew,
+        on_pause=around.on_pause,
         random=state.random,
         log=around.log,
     )
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -6,7 +6,6 @@
 
 from ..admission.admission import Admission
 from ..admission.levels import LevelTable
-from ..admission.shed_level import NOTHING_SHED, ShedLevel
 from ..bundle.model import (
     AdmissionPolicy,
     FencePolicy,
@@ -17,7 +16,6 @@
 )
 from ..bundle.store import BundleStore
 from ..fence.ballot import Ballots
-from ..fence.instant import Instant
 from ..fence.memo import FenceMemo
 from ..flow.arrival_check import ArrivalCheck
 from ..flow.context import ContextRegistry
@@ -33,7 +31,8 @@
 from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
-from ..wire.frames import MemberRecord, Submit
+from ..wire.frames import MemberRecord
+from .levels_below import level_folder, shed_below
 
 MEMO_MAX_ENTRIES = 100_000
 MEMO_MAX_BYTES = 32 * 1024 * 1024
@@ -86,17 +85,15 @@
     """
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
-    parts = _build_target_state(record, now_ms, policy)
+    parts = _build_target_state(record, now_ms, policy, levels, random)
     target = Target(
         host=record.host,
         incarnation=record.incarnation,
         state=parts,
-        fold_level=_level_folder(policy, levels),
-        shed_below_ms=_shed_below(policy, levels, random),
+        fold_level=level_folder(policy, levels),
         list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         log=log,
     )
-    membership = MembershipPolicy()
     return NodeState(
         **parts._asdict(),
         record=record,
@@ -106,8 +103,8 @@
         refused=RefusedLately(),
         levels=levels,
         view=view,
-        failures=FailureTracker(policy=membership),
-        pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
+        failures=FailureTracker(policy=MembershipPolicy()),
+        pauses=PauseDetector(pause_after_ms=MembershipPolicy().pause_after_ms),
         picker=_build_picker(record, random),
         ballots=Ballots(host=record.host, incarnation=record.incarnation),
         target=target,
@@ -115,9 +112,18 @@
 
 
 def _build_target_state(
-    record: MemberRecord, now_ms: float, policy: Callable[[], Policy | None]
+    record: MemberRecord,
+    now_ms: float,
+    policy: Callable[[], Policy | None],
+    levels: LevelTable,
+    random: Random,
 ) -> TargetState:
     suspects = Suspects(policy=QuarantinePolicy())
+    check = ArrivalCheck(
+        policy=policy,
+        suspects=suspects,
+        shed_below_ms=shed_below(policy, levels, random),
+    )
     return TargetState(
         admission=Admission(slots=1, queue=1, policy=AdmissionPolicy()),
         memo=_build_memo(record, now_ms),
@@ -125,7 +131,7 @@
         ledger=AllowanceLedger(),
         contexts=ContextRegistry(),
         nested=NestedTime(),
-        check=ArrivalCheck(policy=policy, suspects=suspects),
+        check=check,
     )
 
 
@@ -147,38 +153,3 @@
         policy=RoutingPolicy(),
         random=random,
     )
-
-
-def _shed_below(
-    policy: Callable[[], Policy | None], levels: LevelTable, random: Random
-) -> Callable[[Instant, Submit], int | None]:
-    """Return the check of a request against the levels of the routes it will call."""
-
-    def shed_below_ms(at: Instant, submit: Submit) -> int | None:
-        current = policy()
-        route = current.bundle.routes.get(submit.route) if current else None
-        if route is None or not route.calls:
-            return None
-        return levels.refuses(
-            at.now_ms, route.calls, submit.rank, submit.root_hash, random.random()
-        )
-
-    return shed_below_ms
-
-
-def _level_folder(
-    policy: Callable[[], Policy | None], levels: LevelTable
-) -> Callable[[Instant, str, ShedLevel], ShedLevel]:
-    """Return the fold of a target's level with those of the routes that it calls.
-
-    So an entry node learns from one answer what any service on the path would shed.
-    """
-
-    def fold(at: Instant, route_name: str, own: ShedLevel) -> ShedLevel:
-        current = policy()
-        route = current.bundle.routes.get(route_name) if current else None
-        if route is None or not route.calls:
-            return own
-        return min(own, levels.strictest(at.now_ms, route.calls), NOTHING_SHED)
-
-    return fold
--- a/src/jacinthshed/internal/node/status.py
+++ b/src/jacinthshed/internal/node/status.py
@@ -42,3 +42,17 @@
         "suspects": len(state.suspects),
     }
     return msgspec.json.encode(document)
+
+
+def node_gauges(
+    state: NodeState, holder: PolicyHolder, in_flight: int
+) -> dict[str, float]:
+    """Return the node's present figures, by their names as metrics."""
+    return {
+        "admission.limit": state.admission.limit,
+        "admission.running": state.admission.in_flight,
+        "admission.waiting": state.admission.waiting,
+        "calls.in_flight": in_flight,
+        "members": len(state.view.hosts()) + 1,
+        "bundle.version": holder.order.version,
+    }
--- a/tests/cover/test_node_sessions.py
+++ b/tests/cover/test_node_sessions.py
@@ -13,6 +13,7 @@
 from jacinthshed.internal.standin.backend_state import ShedAnswer
 from jacinthshed.internal.standin.platform_state import Mode
 from tests.common.fleet import run_virtual, running_fleet
+from tests.common.http import receive_all
 from tests.common.policies import (
     THREE_DEEP_LAYOUT,
     THREE_DEEP_OPTIONS,
@@ -384,3 +385,38 @@
             assert fleet["orders-0"].node._reader._policy.per_zone == 1
 
     run_virtual(main)
+
+
+def test_what_waited_in_a_connection_through_a_long_sleep_is_not_run():
+    async def main():
+        async with running_fleet(single_layout(2), single_bundle()) as fleet:
+            stream = await fleet.connect(fleet["orders-0"].entry)
+            await trio.sleep(1)
+            fleet["orders-0"].wall_offset_ms = 120_000
+            await stream.send_all(
+                b"POST /orders/book HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
+                b"Jacinthshed-Fence: new\r\nContent-Length: 0\r\n\r\n"
+            )
+            assert await receive_all(stream) == b""
+            assert fleet.total_starts("k") == 0
+
+    run_virtual(main)
+
+
+def test_a_target_that_has_reached_no_other_of_its_service_runs_no_order():
+    async def main():
+        async with running_fleet(single_layout(3), single_bundle()) as fleet:
+            lone = fleet["orders-1"]
+            lone.kill_node()
+            fleet.part(["orders-1"], ["orders-0", "orders-2"])
+            await trio.sleep(0.1)
+            await lone.start_node()
+            new = (b"idempotency-key", b"k"), (b"jacinthshed-fence", b"new")
+            order = Request(b"POST", b"/orders/book", (*HOST, *new))
+            assert verdict(await fleet.send("orders-1", order)) == b"not-run"
+            assert fleet.total_starts("k") == 0
+            fleet.heal()
+            await trio.sleep(5)
+            assert verdict(await fleet.send("orders-1", order)) == b"ran"
+
+    run_virtual(main)
