--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -20,6 +20,7 @@
 HOSTS = ("orders-0", "orders-1", "orders-2")
 TEST_TIMEOUT_S = 60
 PAST_SKEW_S = 3.0
+ANSWER_BYTES = 1_000_000
 
 
 @pytest.fixture
@@ -256,6 +257,30 @@
         run(main)
 
 
+def test_termination_cuts_no_answer_that_is_being_written(deploy):
+    with deploy(service_ms=20.0, answer_bytes=ANSWER_BYTES) as deployment:
+
+        async def main():
+            leaving = deployment.node("orders-0")
+            client = trio.socket.socket()
+            client.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4_096)
+            await client.connect(
+                ("127.0.0.1", deployment.running["orders-0"].plan.entry_port)
+            )
+            await client.send(b"GET /orders/lookup HTTP/1.1\r\nHost: h\r\n\r\n")
+            await trio.sleep(1)
+            leaving.signal(signal.SIGTERM)
+            await trio.sleep(1)
+            received = bytearray()
+            while data := await client.recv(65_536):
+                received += data
+            assert await trio.to_thread.run_sync(leaving.child.wait) == 0
+            _, _, body = bytes(received).partition(b"\r\n\r\n")
+            assert len(body) >= ANSWER_BYTES
+
+        run(main)
+
+
 def test_rolling_restart_fails_no_lookup(deploy):
     with deploy(service_ms=20.0) as deployment:
         results = []
