--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -54,7 +54,7 @@
         attempt = _Attempt()
         with trio.move_on_after(timeout_ms / _MS_PER_S):
             return await self._attempt(attempt, request, max_body_bytes, informational)
-        return ExchangeFailed(attempt.sent, "timeout")
+        return ExchangeFailed(attempt.sent, "timeout", timed_out=True)
 
     def resize(self, max_connections: int) -> None:
         """Follow a new bound; connections above it end with their exchange."""
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -14,6 +14,7 @@
 from ..flow.tools import CallTools
 from ..quarantine.decisions import Quarantined
 from ..routing.rendezvous import home_order
+from ..telemetry.log import LogDecision
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply, Submit
 from .clock import Clock
@@ -24,8 +25,6 @@
 RESEND_WAIT_MS = 2_000
 _NO_SERVICE = frozenset({Reason.UNREACHABLE, Reason.NO_BUNDLE, Reason.CRASHED})
 
-LogDecision = Callable[..., None]
-
 
 class CallSurroundings(NamedTuple):
     """What the tools of a call are bound to."""
--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -23,7 +23,6 @@
 
 CONTEXT_HEADER = b"jacinthshed-context"
 DEADLINE_HEADER = b"jacinthshed-deadline-ms"
-TIMEOUT_REASON = "timeout"
 
 
 class Dispatcher:
@@ -149,8 +148,7 @@
 
 def _result_of(outcome: Outcome) -> BackendResult:
     if isinstance(outcome, ExchangeFailed):
-        timed_out = outcome.reason == TIMEOUT_REASON
-        cause = FailureCause.TIMED_OUT if timed_out else FailureCause.BROKEN
+        cause = FailureCause.TIMED_OUT if outcome.timed_out else FailureCause.BROKEN
         return BackendFailure(outcome.sent, cause, outcome.reason)
     return BackendAnswer(outcome.status, outcome.headers, outcome.body)
 
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -28,6 +28,7 @@
 from ..http.problem import refusal_response
 from ..http.server import Informational
 from ..retry.allowance import AllowanceLedger
+from ..telemetry.log import LogDecision
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply
 from .caller_port import CallerPort
@@ -45,8 +46,6 @@
 LEAVING_RETRY_AFTER_MS = 100
 NO_BUNDLE_RETRY_AFTER_MS = 1_000
 
-LogDecision = Callable[..., None]
-
 
 class Gateway:
     """Serves callers at the entry and this node's own backend server at the egress.
--- a/src/jacinthshed/internal/node/links.py
+++ b/src/jacinthshed/internal/node/links.py
@@ -49,7 +49,7 @@
         self._numbers = itertools.count(1)
         self._by_number: dict[int, Channel] = {}
         self._by_host: dict[str, Channel] = {}
-        self._opening: dict[str, OneShot[Channel | bool]] = {}
+        self._opening: dict[str, OneShot[Channel | None]] = {}
         self._nursery: trio.Nursery | None = None
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -83,8 +83,7 @@
         opening = self._opening.get(host)
         if opening is None:
             opening = self._begin(host)
-        result = await opening.wait()
-        return None if isinstance(result, bool) else result
+        return await opening.wait()
 
     async def open_address(self, address: str) -> Channel | None:
         """Return a link to whichever host is at ``address``."""
@@ -105,19 +104,19 @@
         """Run a link that a peer opened."""
         await self._run(self._new_link(stream), OneShot())
 
-    def _begin(self, host: str) -> OneShot[Channel | bool]:
-        opening: OneShot[Channel | bool] = OneShot()
+    def _begin(self, host: str) -> OneShot[Channel | None]:
+        opening: OneShot[Channel | None] = OneShot()
         self._opening[host] = opening
         assert self._nursery is not None
         self._nursery.start_soon(self._open, host, opening)
         return opening
 
-    async def _open(self, host: str, opening: OneShot[Channel | bool]) -> None:
+    async def _open(self, host: str, opening: OneShot[Channel | None]) -> None:
         try:
             channel = await self._open_to_host(host)
         finally:
             self._opening.pop(host, None)
-            opening.set(False)
+            opening.set(None)
         if channel is None:
             self._on_failed(host)
 
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -14,6 +14,7 @@
 from ..membership.pause import PauseDetector
 from ..membership.record_order import LIVE
 from ..membership.view import View
+from ..telemetry.log import LogDecision
 from ..wire.frames import Gossip, Leaving, MemberRecord
 from .clock import MS_PER_S, Clock
 from .link import Channel
@@ -25,7 +26,6 @@
 SETTLE_MS = 1_000.0
 
 Outbox = list[tuple[str, Gossip]]
-LogDecision = Callable[..., None]
 
 
 class MembershipTask:
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -1,6 +1,5 @@
 """One node: its listeners, its tasks and its graceful shutdown."""
 
-from collections.abc import Callable
 from functools import partial
 from random import Random
 from typing import NamedTuple
@@ -20,6 +19,7 @@
 from ..membership.record_order import LIVE
 from ..settings.address import Address
 from ..settings.model import NodeSettings
+from ..telemetry.log import LogDecision
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
 from .backend_health import build_health_task, is_listening
@@ -36,8 +36,6 @@
 DRAIN_POLL_S = 0.02
 FLUSH_TIMEOUT_S = 1.0
 
-LogDecision = Callable[..., None]
-
 
 class NodeAddresses(NamedTuple):
     """The addresses that a node's listeners have."""
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -11,6 +11,7 @@
 from ..http.network import Network
 from ..membership.gossip import Gossiper
 from ..settings.model import NodeSettings
+from ..telemetry.log import LogDecision
 from ..telemetry.metrics import Metrics
 from ..wire.codec import PROTOCOL_VERSION
 from ..wire.frames import Frame, Hello
@@ -30,8 +31,6 @@
 
 BACKEND_CONNECTIONS = 64
 
-LogDecision = Callable[..., None]
-
 
 class NodeParts(NamedTuple):
     """What the tasks of a node run."""
--- a/src/jacinthshed/internal/node/platform_task.py
+++ b/src/jacinthshed/internal/node/platform_task.py
@@ -7,10 +7,9 @@
 
 from ..bundle.readers import PlatformReader, ReadAction
 from ..platform.adapter import Platform, Versioned
+from ..telemetry.log import LogDecision
 from .clock import MS_PER_S, Clock
 
-LogDecision = Callable[..., None]
-
 
 class PlatformTask:
     """Follows one key of the platform, as often as this node's rank permits."""
--- a/src/jacinthshed/internal/node/policy_holder.py
+++ b/src/jacinthshed/internal/node/policy_holder.py
@@ -6,8 +6,7 @@
 from ..bundle.routes import RouteTable
 from ..bundle.store import BundleStore, Offer, OfferOutcome
 from ..flow.policy import Policy
-
-LogDecision = Callable[..., None]
+from ..telemetry.log import LogDecision
 
 
 class PolicyHolder:
--- a/src/jacinthshed/internal/telemetry/counted.py
+++ b/src/jacinthshed/internal/telemetry/counted.py
@@ -1,14 +1,11 @@
 """Counters and timers from the decisions that are logged anyway."""
 
-from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
-from .log import decision
+from .log import LogDecision, decision
 from .metrics import Metrics
 
-LogDecision = Callable[..., None]
-
 # Only fields with a closed set of values may become part of a metric's name.
 _COUNTED_FIELDS = ("verdict", "reason", "outcome")
 _ELAPSED_FIELD = "elapsed_ms"
--- a/src/jacinthshed/internal/telemetry/log.py
+++ b/src/jacinthshed/internal/telemetry/log.py
@@ -3,6 +3,7 @@
 import logging
 import sys
 import time
+from collections.abc import Callable
 from typing import Any, Literal, TextIO
 
 import structlog
@@ -10,6 +11,9 @@
 from .sampling import is_sampled
 from .sink import Entry, LogSink, Renderer
 
+LogDecision = Callable[..., None]
+"""Takes the name of a decision and its fields."""
+
 Level = Literal["debug", "info", "warning", "error"]
 
 _LEVELS: dict[str, int] = {
