A node that doesn't read the list is told that it shows its host leaving

Cause: only the readers of an availability zone follow the platform's list; their notices went to hosts with an open link only, and nobody followed them. Before: a host that is no reader was still serving 5 s after the list showed it (tests/cover/test_node_scenarios.py, failing with the notice unfollowed); after: it leaves, and no other does.

--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -49,6 +49,7 @@
         on_members: Callable[[Iterable[str]], None],
         on_renewed: Callable[[int], None],
         on_pause: Callable[[float], None],
+        on_listed_leaving: Callable[[], None],
         random: Random,
         log: LogDecision,
     ) -> None:
@@ -63,6 +64,7 @@
         self._on_members = on_members
         self._on_renewed = on_renewed
         self._on_pause = on_pause
+        self._on_listed_leaving = on_listed_leaving
         self._random = random
         self._log = log
         self._nursery: trio.Nursery | None = None
@@ -150,7 +152,15 @@
         self._publish_changes()
 
     def heard_leaving(self, notice: Leaving) -> None:
-        """Take in a host's word that it takes no new work."""
+        """Take in a host's word that it takes no new work.
+
+        A notice about this node itself passes on what the platform's list shows; most
+        nodes don't read the list.
+        """
+        own = self._view.self_record
+        if (notice.host, notice.incarnation) == (own.host, own.incarnation):
+            self._on_listed_leaving()
+            return
         now_ms = self._clock.now_ms()
         changed = self._view.heard_leaving(now_ms, notice)
         self._send(self._gossiper.announce(now_ms, changed))
@@ -160,9 +170,8 @@
         """Take in the platform's list; return whether it shows this host leaving."""
         news = self._view.apply_host_list(self._clock.now_ms(), hosts)
         for notice in news.notices:
-            channel = self._links.to(notice.host)
-            if channel is not None:
-                channel.send(notice)
+            if self._nursery is not None:
+                self._nursery.start_soon(self._send_by_new_link, notice.host, notice)
         self._publish_changes()
         return news.own_leaving
 
@@ -229,10 +238,10 @@
     def _may_try(self, host: str) -> bool:
         return self._failures.may_probe(self._clock.now_ms(), host)
 
-    async def _send_by_new_link(self, host: str, gossip: Gossip) -> None:
+    async def _send_by_new_link(self, host: str, frame: Gossip | Leaving) -> None:
         channel = await self._links.open(host)
         if channel is not None:
-            channel.send(gossip)
+            channel.send(frame)
 
     async def _ask_seeds(self) -> None:
         """Open a link to each seed, again and again until one has answered."""
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -103,7 +103,7 @@
         listen = self._settings.listen
         async with trio.open_nursery() as nursery:
             peer: str = await nursery.start(
-                self._listen, str(listen.peer), self._accept_peer
+                self._network.listen, str(listen.peer), self._accept_peer
             )
             parts = self._build(peer)
             entry = await self._serve_http(nursery, listen.entry, self._serve_entry)
@@ -115,10 +115,10 @@
             await self._shut_down(parts)
             nursery.cancel_scope.cancel()
 
-    def _build(self, peer_address: str) -> NodeParts:
+    def _own_record(self, peer_address: str) -> MemberRecord:
         settings = self._settings
         wall_ms = self._clock.wall_ms()
-        record = MemberRecord(
+        return MemberRecord(
             host=settings.host,
             incarnation=new_incarnation(wall_ms, self._random),
             state=LIVE,
@@ -128,6 +128,10 @@
             peer_address=peer_address,
             started_ms=wall_ms,
         )
+
+    def _build(self, peer_address: str) -> NodeParts:
+        settings = self._settings
+        record = self._own_record(peer_address)
         store = BundleStore(trusted=self._trusted, deployment=settings.deployment)
         holder = PolicyHolder(store=store, log=self._log)
         state = build_state(
@@ -148,6 +152,7 @@
             is_leaving=lambda: self.is_leaving,
             is_backend_up=self._is_backend_up,
             on_pause=self._after_pause,
+            on_listed_leaving=self._follow_list,
         )
         parts = build_parts(
             around=self._around, state=state, holder=holder, reader=self._reader
@@ -196,9 +201,13 @@
         if listed is None or self._parts is None:
             self._log("host_list_refused", reason="not a JSON list of hosts")
             return
-        own_leaving = self._parts.membership.heard_list(listed)
+        if self._parts.membership.heard_list(listed):
+            self._follow_list()
+
+    def _follow_list(self) -> None:
+        """Leave as the platform's list says, unless it speaks of an earlier life."""
         uptime_ms = self._clock.now_ms() - self._started_ms
-        if own_leaving and should_leave(uptime_ms):
+        if not self.is_leaving and should_leave(uptime_ms):
             self._log("leaving", reason="the platform's list shows this host leaving")
             self.leave()
 
@@ -279,18 +288,9 @@
     ) -> str:
         limit = self._settings.http.connections
         limited = limit_connections(handler, max_connections=limit)
-        bound: str = await nursery.start(self._listen, str(address), limited)
+        bound: str = await nursery.start(self._network.listen, str(address), limited)
         return bound
 
-    async def _listen(
-        self,
-        address: str,
-        handler: StreamHandler,
-        *,
-        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        await self._network.listen(address, handler, task_status=task_status)
-
     async def _is_backend_up(self) -> bool:
         backend = self._settings.backend
         if backend is None:
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -55,6 +55,7 @@
     is_leaving: Callable[[], bool]
     is_backend_up: Callable[[], Awaitable[bool]]
     on_pause: Callable[[float], None]
+    on_listed_leaving: Callable[[], None]
 
 
 class _Wiring:
@@ -200,6 +201,7 @@
         on_members=publish,
         on_renewed=state.renew,
         on_pause=around.on_pause,
+        on_listed_leaving=around.on_listed_leaving,
         random=state.random,
         log=around.log,
     )
--- a/tests/cover/test_node_scenarios.py
+++ b/tests/cover/test_node_scenarios.py
@@ -213,3 +213,21 @@
             assert {e.status for e in load.of("look")} == {200}
 
     run_virtual(main)
+
+
+def test_a_host_that_does_not_read_the_list_is_told_that_it_shows_it_leaving():
+    layout = [(f"orders-{n}", "orders", "zone-a") for n in range(6)]
+
+    async def main():
+        async with running_fleet(layout, single_bundle()) as fleet:
+            await trio.sleep(70)
+            names = list(fleet.hosts)
+            idle = [n for n in names if fleet[n].node._reader.rank >= 2]
+            assert len(idle) == 4
+            fleet.list_hosts(leaving=idle[:1])
+            with trio.fail_after(5):
+                await fleet[idle[0]].node_ended.wait()
+            gone = [name for name in names if fleet[name].decided("leaving")]
+            assert gone == idle[:1]
+
+    run_virtual(main)
