--- a/src/jacinthshed/internal/flow/retry_rules.py
+++ b/src/jacinthshed/internal/flow/retry_rules.py
@@ -1,7 +1,7 @@
 """Which refusals are worth another attempt, and what a broken one amounts to."""
 
 from ..verdict import Reason, Refusal, Verdict
-from .steps import Broken, Event
+from .steps import Broken, Event, Replied
 
 NO_TARGET_RETRY_AFTER_MS = 500
 UNREACHABLE_RETRY_AFTER_MS = 500
@@ -36,6 +36,14 @@
         verdict = Verdict.MAY_HAVE_RUN if event.sent else Verdict.NOT_RUN
         detail = "the link to the target failed"
         return Refusal(verdict, Reason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_MS, detail)
+    if isinstance(event, Replied):
+        detail = "the reply was damaged on its way"
+        return Refusal(
+            Verdict.MAY_HAVE_RUN,
+            Reason.BACKEND_FAILED,
+            UNREACHABLE_RETRY_AFTER_MS,
+            detail,
+        )
     return Refusal(Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
 
 
