One reply to start from, one home for header names; dead and doubled steps taken out

Found in the read of the whole change: the two builders of replies repeated eight fields, the system's header names stood again in gateway, dispatcher and outcomes, a link was looked up twice before an exchange, MembershipTask.failed had no caller, a level was compared with the default that strictest already gives.

--- a/src/jacinthshed/internal/cli/node_command.py
+++ b/src/jacinthshed/internal/cli/node_command.py
@@ -7,8 +7,7 @@
 
 from ..node.daemon import run_daemon
 from ..settings.load import load_settings
-
-EXIT_FAILED = 1
+from .exit_codes import EXIT_REFUSED
 
 
 def node(*, settings: Path) -> int:
@@ -21,5 +20,5 @@
     loaded = load_settings(settings)
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
-        return EXIT_FAILED
+        return EXIT_REFUSED
     return run_daemon(loaded.unwrap())
--- a/src/jacinthshed/internal/flow/backend_outcome.py
+++ b/src/jacinthshed/internal/flow/backend_outcome.py
@@ -4,12 +4,12 @@
 from typing import NamedTuple
 
 from ..admission.outcome import Outcome
+from ..http.problem import VERDICT_FIELD
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Header
 
 OVERLOAD_STATUS = 503
 GATEWAY_STATUSES = frozenset({502, 504})
-VERDICT_HEADER = b"jacinthshed-verdict"
 RETRY_AFTER_MS = 250
 
 
@@ -93,7 +93,7 @@
 
 def _stated_verdict(answer: BackendAnswer) -> Verdict:
     for name, value in answer.headers:
-        if name == VERDICT_HEADER:
+        if name == VERDICT_FIELD:
             return _parse_verdict(value)
     return Verdict.MAY_HAVE_RUN
 
--- a/src/jacinthshed/internal/flow/replies.py
+++ b/src/jacinthshed/internal/flow/replies.py
@@ -2,54 +2,51 @@
 
 import xxhash
 
-from ..bundle.model import MAX_RANK
+from ..admission.shed_level import NOTHING_SHED
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply
 from .backend_outcome import BackendAnswer
 from .job import Waiter
 
-NOTHING_SHED_RANK = MAX_RANK + 1
+_EMPTY = Reply(
+    request_id="",
+    status=0,
+    headers=(),
+    body=b"",
+    checksum=0,
+    verdict=Verdict.RAN,
+    reason="",
+    detail="",
+    retry_after_ms=0,
+    allowance=0,
+    calls_done=0,
+    load=0.0,
+    shed_rank=NOTHING_SHED.rank,
+    shed_hash=NOTHING_SHED.root_hash,
+)
 _VERDICTS = frozenset(Verdict)
 _REASONS = frozenset(Reason)
 
 
 def answer_reply(request_id: str, answer: BackendAnswer) -> Reply:
     """Return the reply that carries a backend server's whole answer."""
-    return Reply(
+    return _EMPTY._replace(
         request_id=request_id,
         status=answer.status,
         headers=answer.headers,
         body=answer.body,
         checksum=xxhash.xxh3_64_intdigest(answer.body),
-        verdict=Verdict.RAN,
-        reason="",
-        detail="",
-        retry_after_ms=0,
-        allowance=0,
-        calls_done=0,
-        load=0.0,
-        shed_rank=NOTHING_SHED_RANK,
-        shed_hash=0,
     )
 
 
 def refusal_reply(request_id: str, refusal: Refusal) -> Reply:
     """Return the reply that carries a refusal."""
-    return Reply(
+    return _EMPTY._replace(
         request_id=request_id,
-        status=0,
-        headers=(),
-        body=b"",
-        checksum=0,
         verdict=refusal.verdict,
         reason=refusal.reason,
         detail=refusal.detail,
         retry_after_ms=refusal.retry_after_ms,
-        allowance=0,
-        calls_done=0,
-        load=0.0,
-        shed_rank=NOTHING_SHED_RANK,
-        shed_hash=0,
     )
 
 
--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -13,6 +13,7 @@
     BackendResult,
     FailureCause,
 )
+from ..flow.intake import CONTEXT_HEADER, DEADLINE_HEADER
 from ..flow.target import Target
 from ..http.client import BackendPool
 from ..http.message import Request
@@ -21,9 +22,6 @@
 from .clock import Clock
 from .links import LinkTable
 
-CONTEXT_HEADER = b"jacinthshed-context"
-DEADLINE_HEADER = b"jacinthshed-deadline-ms"
-
 
 class Dispatcher:
     """Owns the exchanges with the backend server beside this node.
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -91,7 +91,7 @@
 async def _exchange(
     step: Exchange, links: LinkTable, port: CallerPort, observer: ExchangeObserver
 ) -> Event:
-    channel = links.to(step.host) or await links.open(step.host)
+    channel = await links.open(step.host)
     if channel is None:
         return Broken(sent=False)
     frame: LinkEvent = None
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -25,7 +25,7 @@
 from ..flow.steps import CallEnd
 from ..flow.tools import CallTools
 from ..http.message import Request, Response, header
-from ..http.problem import refusal_response
+from ..http.problem import REQUEST_FIELD, VERDICT_FIELD, refusal_response
 from ..http.server import Informational
 from ..retry.allowance import AllowanceLedger
 from ..telemetry.log import LogDecision
@@ -40,8 +40,6 @@
 INTERIM_STATUS = 100
 EGRESS_CALLER = "egress"
 INTERIM_HEADER = b"jacinthshed-interim"
-VERDICT_HEADER = b"jacinthshed-verdict"
-REQUEST_HEADER = b"jacinthshed-request"
 REQUEST_ID_BITS = 64
 LEAVING_RETRY_AFTER_MS = 100
 NO_BUNDLE_RETRY_AFTER_MS = 1_000
@@ -241,7 +239,7 @@
 def _answer(request_id: str, reply: Reply) -> Response:
     headers = tuple(h for h in reply.headers if not h[0].startswith(SYSTEM_PREFIX))
     headers += (
-        (VERDICT_HEADER, Verdict.RAN.encode()),
-        (REQUEST_HEADER, request_id.encode()),
+        (VERDICT_FIELD, Verdict.RAN.encode()),
+        (REQUEST_FIELD, request_id.encode()),
     )
     return Response(reply.status, headers, reply.body)
--- a/src/jacinthshed/internal/node/levels_below.py
+++ b/src/jacinthshed/internal/node/levels_below.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from ..admission.levels import LevelTable
-from ..admission.shed_level import NOTHING_SHED, ShedLevel
+from ..admission.shed_level import ShedLevel
 from ..fence.instant import Instant
 from ..flow.policy import Policy
 from ..wire.frames import Submit
@@ -40,6 +40,6 @@
         route = current.bundle.routes.get(route_name) if current else None
         if route is None or not route.calls:
             return own
-        return min(own, levels.strictest(at.now_ms, route.calls), NOTHING_SHED)
+        return min(own, levels.strictest(at.now_ms, route.calls))
 
     return fold
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -182,10 +182,6 @@
         for link in self._links.streams():
             link.send(Leaving(record.host, record.incarnation))
 
-    def failed(self, host: str) -> None:
-        """Note that a link to ``host`` could not be opened."""
-        self._failures.failed(self._clock.now_ms(), host)
-
     def _tick(self, now_ms: float) -> None:
         self._notice_pause(now_ms)
         for link in self._links.streams():
@@ -253,14 +249,14 @@
             await trio.sleep(SEED_INTERVAL_MS / MS_PER_S)
 
     def _has_others(self) -> bool:
-        return bool(self._view.contacts()) or bool(self._view.hosts())
+        return bool(self._view.contacts() or self._view.hosts())
 
     def _publish_changes(self) -> None:
         if self._view.version == self._version:
             return
         self._version = self._view.version
         now_ms = self._clock.now_ms()
-        for record in self._view.recent(len(self._view.records())):
+        for record in self._view.records():
             if record.state == LIVE:
                 zone = record.availability_zone
                 self._reader.member_up(now_ms, record.host, zone)
