Stand-ins of the store and its targets; the adapter's edge under hostile input

Tests for pages, lost history, 429, 503, silence, answers cut short or doubled, damaged entries, requests that are refused, orders that run once, targets and nodes that leave. Found by them: two targets that name the same start at one address were ordered by when their entries were heard, so that nodes could disagree; now by the entries' revisions.

--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -67,10 +67,17 @@
         by_service: dict[str, list[TargetEntry]] = {key: [] for key in self._by_service}
         self._by_address = {}
         # Of two targets at one address the later start holds it.
-        for entry in sorted(self.entries(), key=lambda entry: entry.started_wall_ms):
-            self._by_address[entry.address] = entry
+        for change in sorted(self._changes.values(), key=_start_order):
+            if change.entry is not None:
+                self._by_address[change.entry.address] = change.entry
         for entry in sorted(self._by_address.values(), key=lambda entry: entry.host):
             places = by_service.setdefault(entry.service, [])
             if not entry.leaving:
                 places.append(entry)
         self._by_service = {key: tuple(found) for key, found in by_service.items()}
+
+
+def _start_order(change: EntryChange) -> tuple[int, int]:
+    """Order by start; two that name the same start go by their entries' revisions."""
+    started_ms = change.entry.started_wall_ms if change.entry else 0
+    return started_ms, change.revision
--- /dev/null
+++ b/src/jacinthshed/internal/standin/pinned_target.py
@@ -0,0 +1,68 @@
+"""A stand-in for a target of the users' platform."""
+
+from collections import Counter
+
+import trio
+
+from ..http.drain import Drain
+from ..http.limits import HttpLimits
+from ..http.message import Request, Response, header
+from ..http.network import Network
+from ..http.server import Informational, serve_connection
+
+
+class PinnedTarget:
+    """Runs requests that name it, and notes every one that it ran.
+
+    ``work_ms`` is how long a request runs. ``status`` is what it answers with, and
+    ``sealed`` whether with its receipt.
+    """
+
+    def __init__(self, *, target_id: str, work_ms: float = 10.0) -> None:
+        self.target_id = target_id
+        self.work_ms = work_ms
+        self.status = 200
+        self.sealed = True
+        self.is_full = False
+        self.runs: Counter[str] = Counter()
+        self.requests: list[Request] = []
+        self.ended = 0
+
+    async def serve(
+        self,
+        network: Network,
+        address: str,
+        *,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve on ``address`` until cancelled."""
+        drain = Drain()
+
+        async def connected(stream: trio.abc.Stream) -> None:
+            await serve_connection(
+                stream,
+                self._handle,
+                limits=HttpLimits(),
+                drain=drain,
+                cancel_on_disconnect=True,
+            )
+
+        await network.listen(address, connected, task_status=task_status)
+
+    async def _handle(self, request: Request, interim: Informational) -> Response:
+        attempt = header(request.headers, b"attempt-id") or b""
+        pinned = header(request.headers, b"pin-instance")
+        own_id = self.target_id.encode()
+        if pinned not in (None, own_id):
+            headers = ((b"instance-id", own_id), (b"not-executed", b"1"))
+            return Response(421, headers)
+        if self.is_full:
+            return Response(503, ((b"not-executed", b"1"),))
+        self.runs[attempt.decode()] += 1
+        self.requests.append(request)
+        await trio.sleep(self.work_ms / 1_000)
+        self.ended += 1
+        headers = ((b"attempt-id", attempt),)
+        if self.sealed:
+            headers += ((b"response-seal", b"seal-" + attempt),)
+        return Response(self.status, headers, b"ran by " + own_id)
--- /dev/null
+++ b/tests/cover/test_http_stray_answers.py
@@ -0,0 +1,115 @@
+"""Answers that belong to another request, and servers that close idle connections."""
+
+import trio
+import trio.testing
+
+from jacinthshed.internal.http.client import BackendPool
+from jacinthshed.internal.http.message import Request, header
+from jacinthshed.internal.http.network import tcp_network
+from jacinthshed.internal.http.outcome import ExchangeFailed
+from jacinthshed.internal.http.socket_stream import TcpStream
+from tests.common.fleet import run_virtual
+
+
+def answer(request_id, more=b""):
+    return b"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n%s\r\nbody" % (
+        request_id,
+        more,
+    )
+
+
+class Server:
+    """Sends what ``script`` says for each request; counts its connections."""
+
+    def __init__(self, script):
+        self.script = iter(script)
+        self.connections = 0
+        self.nursery = None
+
+    async def connect(self, address):
+        self.connections += 1
+        ours, theirs = trio.testing.memory_stream_pair()
+        self.nursery.start_soon(self._serve, theirs)
+        return ours
+
+    async def _serve(self, stream):
+        while await stream.receive_some():
+            await stream.send_all(next(self.script))
+
+
+def exchanged(script, ids, *, pause_s=0.0):
+    """Return the outcomes of requests with ``ids``, and how many connections."""
+
+    async def main():
+        server = Server(script)
+        outcomes = []
+        async with trio.open_nursery() as nursery:
+            server.nursery = nursery
+            pool = BackendPool(connect=server.connect, address="x", max_connections=1)
+            for own_id in ids:
+                outcomes.append(
+                    await pool.request(
+                        Request(b"GET", b"/", ((b"host", b"x"),)),
+                        timeout_ms=1_000,
+                        max_body_bytes=100,
+                        accepts=lambda headers, own=own_id: (
+                            header(headers, b"id") == own
+                        ),
+                    )
+                )
+                await trio.sleep(pause_s)
+            nursery.cancel_scope.cancel()
+        return outcomes, server.connections
+
+    return run_virtual(main)
+
+
+def test_a_late_answer_to_an_earlier_request_is_skipped():
+    script = [answer(b"0") + answer(b"1"), answer(b"2")]
+    (first, second), connections = exchanged(script, [b"1", b"2"])
+    assert header(first.headers, b"id") == b"1"
+    assert header(second.headers, b"id") == b"2"
+    # A connection that gave a stray answer may give another.
+    assert connections == 2
+
+
+def test_an_answer_to_nobody_is_never_handed_out():
+    (outcome,), _ = exchanged([answer(b"0") * 9], [b"1"])
+    assert isinstance(outcome, ExchangeFailed)
+    assert outcome.sent
+
+
+def test_a_connection_is_not_used_again_when_its_server_is_about_to_close_it():
+    keep = b"Keep-Alive: timeout=2\r\n"
+    script = [answer(b"1", keep), answer(b"2", keep)]
+    assert exchanged(script, [b"1", b"2"], pause_s=0.5)[1] == 1
+    script = [answer(b"1", keep), answer(b"2", keep)]
+    assert exchanged(script, [b"1", b"2"], pause_s=1.5)[1] == 2
+
+
+def test_a_tcp_stream_carries_more_than_the_system_takes_at_once():
+    size = 8_000_000
+
+    async def main():
+        async def echo(stream):
+            assert isinstance(stream, TcpStream)
+            received = bytearray()
+            while len(received) < size:
+                received += await stream.receive_some()
+            await stream.send_all(received)
+            await stream.send_eof()
+
+        network = tcp_network()
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(network.listen, "127.0.0.1:0", echo)
+                stream = await network.connect(address)
+                nursery.start_soon(stream.send_all, bytes(size))
+                total = 0
+                while data := await stream.receive_some():
+                    total += len(data)
+                await stream.aclose()
+                nursery.cancel_scope.cancel()
+        assert total == size
+
+    trio.run(main)
--- /dev/null
+++ b/tests/cover/test_platform_documents.py
@@ -0,0 +1,132 @@
+"""Decoding of what the platform's store holds."""
+
+import json
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from jacinthshed.internal.bundle.model import ReaderPolicy
+from jacinthshed.internal.bundle.order import BundleOrder
+from jacinthshed.internal.platform.bounds import Bounds, read_bounds
+from jacinthshed.internal.platform.desired_state import policy_opener
+from jacinthshed.internal.platform.store import Item
+from jacinthshed.internal.platform.target_entries import read_entry
+from tests.common.machines import HOST, desired_state, entry_of, route
+
+OPEN = policy_opener(Bounds(), ReaderPolicy())
+ENTRY = json.loads(entry_of("t", "10.0.0.9", "b"))
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda below: (
+        st.lists(below, max_size=3)
+        | st.dictionaries(st.sampled_from([*ENTRY, "routes", "version"]), below)
+    ),
+    max_leaves=8,
+)
+
+
+def entry_from(value):
+    return read_entry(Item("servers/t", 7, value), 3)
+
+
+def test_an_entry_names_its_target_and_the_node_beside_it():
+    value = entry_of("t", "10.0.0.9", "b", state="draining", born=5, cold_left_s=1.5)
+    change = entry_from(value)
+    assert (change.key, change.revision) == ("servers/t", 7)
+    entry = change.entry
+    assert entry.target_id == "t"
+    assert entry.host == "10.0.0.9"
+    assert entry.address == "10.0.0.9:4"
+    assert entry.peer_address == "10.0.0.9:3"
+    assert entry.leaving
+    assert (entry.slots, entry.warming_ms, entry.started_wall_ms) == (4, 1_500, 5)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": 7},
+        {"state": "dancing"},
+        {"slots": "many"},
+        {"slots": 0},
+        {"address": "shop.example:80"},
+        {"zone": None},
+        {"born": 1.5},
+    ],
+)
+def test_an_entry_with_a_wrong_field_names_no_target(changes):
+    assert entry_from(json.dumps({**ENTRY, **changes}).encode()).entry is None
+
+
+@pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
+def test_an_entry_that_lacks_a_field_names_no_target(name):
+    fields = {key: value for key, value in ENTRY.items() if key != name}
+    assert entry_from(json.dumps(fields).encode()).entry is None
+
+
+@settings(max_examples=200)
+@given(value=st.binary(max_size=40) | VALUES.map(lambda v: json.dumps(v).encode()))
+def test_any_entry_gives_a_change_without_an_error(value):
+    assert entry_from(value).key == "servers/t"
+
+
+@settings(max_examples=200)
+@given(st.fixed_dictionaries({}, optional=dict.fromkeys(ENTRY, VALUES)))
+def test_an_entry_with_any_fields_names_a_sound_target_or_none(fields):
+    entry = entry_from(json.dumps({**ENTRY, **fields}).encode()).entry
+    assert entry is None or (entry.slots > 0 and entry.host)
+
+
+@settings(max_examples=200)
+@given(value=st.binary(max_size=40) | VALUES.map(lambda v: json.dumps(v).encode()))
+def test_any_document_gives_a_bundle_or_an_error(value):
+    OPEN(value, "test").value_or(None)
+
+
+def test_a_document_becomes_policy():
+    opened = OPEN(desired_state(7, idle_timeout_s=10), "store").unwrap()
+    assert opened.order.version == 7
+    lookup = opened.bundle.routes["lookup"]
+    assert (lookup.limit_ms, lookup.objective_ms, lookup.attempts) == (2_000, 1_000, 2)
+    assert (lookup.rank, lookup.idempotent) == (1, True)
+    assert not opened.bundle.routes["order"].idempotent
+    assert not opened.bundle.fence.required
+    assert opened.bundle.services["b"].connections == 40
+    sizes = opened.bundle.sizes
+    assert (sizes.head_bytes, sizes.request_bytes) == (4_096, 2_000)
+    assert sizes.idle_ms == 10_000
+    other = OPEN(desired_state(7, idle_timeout_s=11), "store").unwrap()
+    assert other.order != opened.order
+    assert other.order > BundleOrder(6, b"\xff" * 32)
+
+
+def test_routes_of_one_host_are_found_by_the_longest_prefix():
+    routes = [route("short", "/r/", "a"), route("long", "/r/x/", "b")]
+    found = OPEN(desired_state(1, routes=routes), "store").unwrap().routes
+    host = HOST.upper().encode() + b":80"
+    assert found.match(b"GET", b"/r/x/1", host).route_name == "long"
+    assert found.match(b"PUT", b"/r/x", host).route_name == "short"
+    assert found.match(b"GET", b"/r/?/r/x/", host).route_name == "short"
+    assert found.match(b"GET", b"/s/", host) is None
+    assert found.match(b"GET", b"/r/x/1", b"other") is None
+
+
+@settings(max_examples=100)
+@given(
+    weights=st.lists(st.integers(0, 9), min_size=1, max_size=4).filter(any),
+    turns=st.integers(1, 60),
+)
+def test_each_service_gets_its_weights_share_of_any_stretch(weights, turns):
+    split = [{"service": f"s{n}", "weight": w} for n, w in enumerate(weights)]
+    routes = [route("r", "/", "", weighted_backends=split)]
+    found = OPEN(desired_state(1, routes=routes), "store").unwrap().routes
+    picks = [found.match(b"GET", b"/", HOST.encode()).service for _ in range(turns)]
+    for number, weight in enumerate(weights):
+        share = turns * weight / sum(weights)
+        assert abs(picks.count(f"s{number}") - share) <= len(weights)
+        assert weight or f"s{number}" not in picks
+
+
+def test_bounds_are_read_by_name_and_the_rest_is_ignored():
+    values = {"grace_s": 4, "budget_slack": 10.0, "drain_s": "soon", "else": True}
+    assert read_bounds(values) == Bounds()._replace(leave_ms=4_000, retry_slack=10)
--- /dev/null
+++ b/tests/cover/test_platform_path.py
@@ -0,0 +1,260 @@
+"""Requests through real nodes on the users' platform, in virtual time."""
+
+import json
+
+import pytest
+import trio
+
+from jacinthshed.internal.http.message import header
+from tests.common.fleet import run_virtual
+from tests.common.http import receive_all
+from tests.common.machines import desired_state, entry_of, machines, request, route
+
+TWO = {"10.0.0.1": "a", "10.0.0.2": "b"}
+THREE = {**TWO, "10.0.0.3": "b"}
+
+
+def played(play, layout=TWO, state=None):
+    async def main():
+        async with machines(layout, state) as fleet:
+            with trio.fail_after(120):
+                return await play(fleet)
+
+    return run_virtual(main)
+
+
+def test_a_request_reaches_the_target_of_its_route_and_comes_back_whole():
+    async def play(fleet):
+        sent = request("/lookup/7?x=1", "id-1", caller_service="forged", x_note="kept")
+        answer = await fleet.send("10.0.0.1", sent)
+        assert answer.status == 200
+        assert answer.body == b"ran by i-10.0.0.2"
+        assert header(answer.headers, b"attempt-id") == b"id-1"
+        assert header(answer.headers, b"response-seal") == b"seal-id-1"
+        (got,) = fleet.targets["10.0.0.2"].requests
+        assert (got.method, got.target) == (b"GET", b"/lookup/7?x=1")
+        assert header(got.headers, b"caller-service") == b"a"
+        assert header(got.headers, b"pin-instance") == b"i-10.0.0.2"
+        assert header(got.headers, b"x-note") == b"kept"
+        assert 900 <= int(header(got.headers, b"deadline-ms")) <= 1_000
+        assert fleet.targets["10.0.0.1"].requests == []
+
+    played(play)
+
+
+def test_a_node_is_ready_once_it_knows_policy_and_targets_and_not_while_it_leaves():
+    async def play(fleet):
+        ready = request("/ready", None, host="x")
+        assert (await fleet.send("10.0.0.1", ready, port=5)).status == 200
+        node = fleet.nodes["10.0.0.1"]
+        node.leave()
+        assert (await fleet.send("10.0.0.1", ready, port=5)).status == 503
+        # Callers are still sent here for a moment, and are served.
+        assert (await fleet.send("10.0.0.1", request("/lookup/1", "i"))).status == 200
+
+    played(play)
+
+
+def test_a_node_without_policy_refuses_with_a_promise():
+    async def play(fleet):
+        fleet.store.delete("op/config")
+        await fleet.add("10.0.0.9", "a")
+        await fleet.settle()
+        fresh = fleet.nodes["10.0.0.9"]
+        assert fresh.is_ready  # Heard from its peers.
+        answer = await fleet.send("10.0.0.9", request("/lookup/1", "i"))
+        assert answer.status == 200
+
+    played(play)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status", "detail"),
+    [
+        (request("/none/1", "i"), 404, "no route"),
+        (request("/lookup/1", "i", host="other.example"), 404, "no route"),
+        (request("/lookup/1", None), 400, "Attempt-Id"),
+        (request("/lookup/1", "x" * 129), 400, "Attempt-Id"),
+        (request("/lookup/1", "i", deadline_ms="soon"), 400, "Deadline-Ms"),
+        (request("/lookup/1", "i", x_note="n" * 4_096), 431, "4096 bytes"),
+        (request("/lookup/1", "i", b"POST", b"b" * 2_001), 413, "2000 bytes"),
+    ],
+)
+def test_improper_requests_are_refused_with_a_reason_and_never_run(
+    sent, status, detail
+):
+    async def play(fleet):
+        answer = await fleet.send("10.0.0.1", sent)
+        assert answer.status == status
+        assert detail in json.loads(answer.body)["detail"]
+        assert not fleet.targets["10.0.0.2"].requests
+
+    played(play)
+
+
+def test_the_longest_prefix_decides_and_weights_come_out_even():
+    split = [{"service": "a", "weight": 1}, {"service": "b", "weight": 3}]
+    routes = [
+        route("wide", "/r/", "a"),
+        route("narrow", "/r/narrow/", "", weighted_backends=split),
+    ]
+
+    async def play(fleet):
+        for number in range(8):
+            await fleet.send("10.0.0.1", request("/r/narrow/1", f"n{number}"))
+        assert len(fleet.targets["10.0.0.1"].requests) == 2
+        assert len(fleet.targets["10.0.0.2"].requests) == 6
+        await fleet.send("10.0.0.1", request("/r/narro", "w"))
+        assert len(fleet.targets["10.0.0.1"].requests) == 3
+
+    played(play, state=desired_state(routes=routes))
+
+
+def test_a_route_ends_the_wait_though_the_client_would_wait_longer():
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].work_ms = 60_000
+        began = trio.current_time()
+        answer = await fleet.send("10.0.0.1", request("/q/1", "i", deadline_ms="5000"))
+        assert answer.status == 504
+        assert 0.299 <= trio.current_time() - began <= 0.5
+
+    routes = [route("quick", "/q/", "b", timeout_s=0.3)]
+    played(play, state=desired_state(routes=routes))
+
+
+def test_a_failed_lookup_is_tried_at_another_target_and_an_order_is_not():
+    async def play(fleet):
+        for ip in ("10.0.0.2", "10.0.0.3"):
+            fleet.targets[ip].status = 500
+        answer = await fleet.send("10.0.0.1", request("/lookup/1", "l"))
+        # What the target answered is passed on when none does better.
+        assert answer.status == 500
+        assert header(answer.headers, b"response-seal") == b"seal-l"
+        answer = await fleet.send("10.0.0.1", request("/order/1", "o", b"POST", b"x"))
+        assert answer.status == 500
+        runs = fleet.targets["10.0.0.2"].runs + fleet.targets["10.0.0.3"].runs
+        assert runs == {"l": 2, "o": 1}
+
+    played(play, THREE)
+
+
+def test_an_order_goes_on_after_proof_that_it_did_not_run():
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].is_full = True
+        fleet.targets["10.0.0.3"].target_id = "i-another-life"
+        answer = await fleet.send("10.0.0.1", request("/order/1", "o", b"POST", b"x"))
+        assert answer.status == 503
+        assert not fleet.targets["10.0.0.2"].runs + fleet.targets["10.0.0.3"].runs
+        fleet.targets["10.0.0.2"].is_full = False
+        await trio.sleep(6)
+        answer = await fleet.send("10.0.0.1", request("/order/1", "p", b"POST", b"x"))
+        assert answer.status == 200
+        assert fleet.targets["10.0.0.2"].runs == {"p": 1}
+
+    played(play, THREE)
+
+
+@pytest.mark.parametrize("status", [503, 429, 408, 421])
+def test_a_promise_that_the_target_did_not_make_is_not_passed_on(status):
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].status = status
+        answer = await fleet.send("10.0.0.1", request("/order/1", "o", b"POST", b"x"))
+        assert answer.status == 502
+        assert header(answer.headers, b"response-seal") is None
+        assert fleet.targets["10.0.0.2"].runs == {"o": 1}
+
+    played(play)
+
+
+def test_a_success_without_a_receipt_is_none():
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].sealed = False
+        answer = await fleet.send("10.0.0.1", request("/lookup/1", "l"))
+        assert answer.status == 502
+
+    played(play)
+
+
+def test_a_leaving_target_gets_nothing_from_any_node():
+    async def play(fleet):
+        entry = entry_of("i-10.0.0.2", "10.0.0.2", "b", state="draining")
+        fleet.store.put("servers/i-10.0.0.2", entry)
+        await fleet.settle()
+        for number in range(10):
+            sent = request("/lookup/1", f"l{number}")
+            assert (await fleet.send("10.0.0.1", sent)).status == 200
+            sent = request("/lookup/1", f"m{number}")
+            assert (await fleet.send("10.0.0.2", sent)).status == 200
+        assert not fleet.targets["10.0.0.2"].runs
+        assert len(fleet.targets["10.0.0.3"].runs) == 20
+
+    played(play, THREE)
+
+
+def test_a_removed_target_gets_nothing_and_a_damaged_entry_names_none():
+    async def play(fleet):
+        fleet.store.delete("servers/i-10.0.0.2")
+        fleet.store.put("servers/i-10.0.0.3", b'{"service": 7')
+        await fleet.settle()
+        answer = await fleet.send("10.0.0.1", request("/lookup/1", "l"))
+        assert answer.status == 503
+        assert not fleet.targets["10.0.0.2"].runs + fleet.targets["10.0.0.3"].runs
+        fleet.store.put("servers/i-10.0.0.3", entry_of("i-10.0.0.3", "10.0.0.3", "b"))
+        await fleet.settle()
+        answer = await fleet.send("10.0.0.1", request("/lookup/1", "m"))
+        assert answer.status == 200
+
+    played(play, THREE)
+
+
+def test_a_client_that_leaves_takes_its_lookup_along():
+    async def play(fleet):
+        target = fleet.targets["10.0.0.2"]
+        target.work_ms = 900
+        stream = await fleet.network.connect("10.0.0.1:1")
+        await stream.send_all(
+            b"GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Attempt-Id: l\r\nDeadline-Ms: 2000\r\n\r\n"
+        )
+        await trio.sleep(0.1)
+        assert target.runs == {"l": 1}
+        await stream.aclose()
+        await trio.sleep(1.5)
+        assert not target.ended
+
+    played(play)
+
+
+def test_a_new_version_is_in_force_everywhere_and_an_older_one_never_again():
+    async def play(fleet):
+        moved = [route("lookup", "/lookup/", "a")]
+        fleet.store.put("op/config", desired_state(9, routes=moved))
+        await fleet.settle()
+        for ip in TWO:
+            await fleet.send(ip, request("/lookup/1", f"at-{ip}"))
+        fleet.store.put("op/config", desired_state(8))
+        await fleet.settle()
+        for ip in TWO:
+            await fleet.send(ip, request("/lookup/1", f"old-{ip}"))
+        assert len(fleet.targets["10.0.0.1"].runs) == 4
+
+    played(play)
+
+
+def test_a_leaving_node_cuts_no_answer_and_ends_in_time():
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].work_ms = 1_900
+        stream = await fleet.network.connect("10.0.0.1:1")
+        began = trio.current_time()
+        fleet.nodes["10.0.0.1"].leave()
+        await trio.sleep(2.5)
+        await stream.send_all(
+            b"GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Attempt-Id: l\r\nDeadline-Ms: 4000\r\n\r\n"
+        )
+        received = await receive_all(stream)
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.endswith(b"ran by i-10.0.0.2")
+        assert trio.current_time() - began < 5.2
+
+    played(play)
--- /dev/null
+++ b/tests/cover/test_platform_store.py
@@ -0,0 +1,163 @@
+"""The store's client and feeds against a stand-in with faults, in virtual time."""
+
+import pytest
+import trio
+from hypothesis import given, settings, strategies as st
+
+from jacinthshed.internal.discovery.directory import Directory
+from jacinthshed.internal.discovery.publication import Sinks
+from jacinthshed.internal.platform.feeds import policy_feed, targets_feed
+from jacinthshed.internal.platform.store import StoreFault, http_store
+from jacinthshed.internal.standin.store import serve_store
+from jacinthshed.internal.standin.store_state import StoreFaultMode, StoreState
+from tests.common.fleet import run_virtual
+from tests.common.http import memory_network
+from tests.common.machines import STORE, desired_state, entry_of, machines, request
+
+PEER_PORT = 3
+WATCH_MS = 1_000
+
+
+def played(play, **options):
+    """Run ``play`` with the state of a store and a client of it."""
+
+    async def main():
+        state = StoreState(**options)
+        network = memory_network()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_store, state, network, STORE)
+            with trio.fail_after(120):
+                await play(state, http_store(address=STORE, connect=network.connect))
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+class Followed:
+    """What the feeds of a store have told."""
+
+    def __init__(self, store):
+        self.documents = []
+        self.directory = Directory()
+        sinks = Sinks(
+            take_bundle=self.documents.append,
+            take_hosts=lambda hosts: None,
+            replace_targets=self.directory.replace,
+            change_targets=self.directory.apply,
+        )
+        self.policy = policy_feed(store, sinks)
+        self.targets = targets_feed(store, sinks, PEER_PORT)
+
+    @property
+    def ids(self):
+        return {entry.target_id for entry in self.directory.entries()}
+
+
+def test_all_pages_of_a_range_are_read_and_later_changes_are_heard():
+    async def play(state, store):
+        for number in range(10):
+            ip = f"10.0.0.{number}"
+            state.put(f"servers/t{number}", entry_of(f"t{number}", ip, "b"))
+        state.put("other/t", b"not a target")
+        followed = Followed(store)
+        (await followed.targets.read()).unwrap()
+        assert state.calls == ["/kv-range"] * 4
+        assert followed.ids == {f"t{number}" for number in range(10)}
+        state.delete("servers/t3")
+        (await followed.targets.watch(WATCH_MS)).unwrap()
+        assert followed.ids == {f"t{n}" for n in range(10) if n != 3}
+
+    played(play, page_items=3)
+
+
+def test_a_watch_whose_history_is_gone_reads_anew_and_drops_what_left():
+    async def play(state, store):
+        state.put("servers/t1", entry_of("t1", "10.0.0.1", "b"))
+        state.put("servers/t2", entry_of("t2", "10.0.0.2", "b"))
+        followed = Followed(store)
+        (await followed.targets.read()).unwrap()
+        state.delete("servers/t1")
+        state.put("servers/t3", entry_of("t3", "10.0.0.3", "b"))
+        state.compact()
+        (await followed.targets.watch(WATCH_MS)).unwrap()
+        assert followed.ids == {"t2", "t3"}
+
+    played(play)
+
+
+@pytest.mark.parametrize(
+    ("mode", "fault"),
+    [
+        (StoreFaultMode.BUSY, StoreFault.BUSY),
+        (StoreFaultMode.MANY, StoreFault.BUSY),
+        (StoreFaultMode.CLOSED, StoreFault.MALFORMED),
+        (StoreFaultMode.SILENT, StoreFault.TIMEOUT),
+        (StoreFaultMode.CUT_SHORT, StoreFault.MALFORMED),
+    ],
+)
+def test_a_call_that_fails_says_why_and_changes_nothing(mode, fault):
+    async def play(state, store):
+        state.put("op/config", desired_state())
+        state.put("servers/t1", entry_of("t1", "10.0.0.1", "b"))
+        followed = Followed(store)
+        (await followed.targets.read()).unwrap()
+        for feed in (followed.policy, followed.targets):
+            state.faults.append(mode)
+            error = (await feed.read()).failure()
+            assert error.fault is fault
+            assert str(error).startswith("the store: ")
+        state.faults.append(mode)
+        assert (await followed.targets.watch(WATCH_MS)).failure().fault is fault
+        assert followed.ids == {"t1"}
+        assert not followed.documents
+        (await followed.policy.read()).unwrap()
+        assert followed.documents == [desired_state()]
+
+    played(play)
+
+
+def test_a_watch_without_news_ends_in_time():
+    async def play(state, store):
+        followed = Followed(store)
+        (await followed.targets.read()).unwrap()
+        began = trio.current_time()
+        (await followed.targets.watch(WATCH_MS)).unwrap()
+        assert 0.999 <= trio.current_time() - began < 1.5
+
+    played(play)
+
+
+@settings(max_examples=200, deadline=None)
+@given(body=st.binary(max_size=60) | st.sampled_from([b"{}", b"[]", b"null", b"1"]))
+def test_any_body_of_an_answer_gives_a_reading_or_an_error(body):
+    async def main():
+        async def connect(address):
+            ours, theirs = trio.testing.memory_stream_pair()
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            await theirs.send_all(head + body)
+            return ours
+
+        store = http_store(address=STORE, connect=connect)
+        for call in (store.read("k"), store.read_all("k"), store.watch("k", 1, 10)):
+            assert (await call).failure().fault is StoreFault.MALFORMED
+
+    run_virtual(main)
+
+
+def test_nodes_serve_on_while_the_store_is_away_and_hear_all_once_it_is_back():
+    async def main():
+        async with machines({"10.0.0.1": "a", "10.0.0.2": "b"}) as fleet:
+            fleet.store.faults.extend([StoreFaultMode.CLOSED] * 40)
+            await trio.sleep(8)
+            answer = await fleet.send("10.0.0.1", request("/lookup/1", "l"))
+            assert answer.status == 200
+            fleet.store.faults.clear()
+            fleet.store.put("op/config", desired_state(5, routes=[]))
+            await trio.sleep(12)
+            answer = await fleet.send("10.0.0.1", request("/lookup/1", "m"))
+            assert answer.status == 404
+            events = [line["event"] for line in fleet.logs["10.0.0.1"]]
+            assert "platform_failed" in events
+            assert "platform_regained" in events
+
+    run_virtual(main)
