--- a/src/jacinthshed/internal/platform/desired_state.py
+++ b/src/jacinthshed/internal/platform/desired_state.py
@@ -15,6 +15,7 @@
     ReaderPolicy,
     RetryPolicy,
     Route,
+    RoutingPolicy,
     Service,
     SizeLimits,
 )
@@ -36,6 +37,10 @@
 # The slack is shared by this many nodes, as no node knows what others have used.
 RETRY_NODES = 16
 
+# Targets differ in speed by two and more, and one that is nearly full turns slow: work
+# goes to other zones well before that.
+HEADROOM = 0.35
+
 _MS_PER_S = 1_000
 
 
@@ -143,6 +148,7 @@
             burst=max(1, bounds.retry_slack // RETRY_NODES // RETRY_DEPTH),
         ),
         fence=FencePolicy(required=False),
+        routing=RoutingPolicy(headroom=HEADROOM),
         drain=DrainPolicy(
             limit_ms=int(bounds.leave_ms * LEAVE_SHARE), callers_ms=CALLERS_MS
         ),
--- a/src/jacinthshed/internal/routing/picker.py
+++ b/src/jacinthshed/internal/routing/picker.py
@@ -110,7 +110,7 @@
         spill = pools.spill.draw(now_ms, exclude, self._random)
         if spill is not None and self._has_headroom(now_ms, spill):
             return _pick(now_ms, spill, SPILL)
-        full = local or spill
+        full = _less_loaded(now_ms, local, spill)
         if full is not None:
             return _pick(now_ms, full, NO_HEADROOM)
         return self._last_resort(pools, exclude)
@@ -174,6 +174,14 @@
         return Pick(first.host, (first.host, first.host), LAST_RESORT)
 
 
+def _less_loaded(now_ms: float, local: Draw | None, spill: Draw | None) -> Draw | None:
+    """Return the draw with the lower load; the own zone's where they are equal."""
+    if local is None or spill is None:
+        return local or spill
+    is_lower = spill.best.known_load(now_ms) < local.best.known_load(now_ms)
+    return spill if is_lower else local
+
+
 def _pick(now_ms: float, draw: Draw, reason: str) -> Pick:
     best, other = draw
     age_ms = now_ms - best.load_ms
--- a/src/jacinthshed/internal/standin/pinned_target.py
+++ b/src/jacinthshed/internal/standin/pinned_target.py
@@ -6,7 +6,7 @@
 
 from ..http.drain import Drain
 from ..http.limits import HttpLimits
-from ..http.message import Request, Response, header
+from ..http.message import Headers, Request, Response, header
 from ..http.network import Network
 from ..http.server import Informational, serve_connection
 
@@ -62,7 +62,7 @@
         self.requests.append(request)
         await trio.sleep(self.work_ms / 1_000)
         self.ended += 1
-        headers = ((b"attempt-id", attempt),)
+        answered: Headers = ((b"attempt-id", attempt),)
         if self.sealed:
-            headers += ((b"response-seal", b"seal-" + attempt),)
-        return Response(self.status, headers, b"ran by " + own_id)
+            answered += ((b"response-seal", b"seal-" + attempt),)
+        return Response(self.status, answered, b"ran by " + own_id)
--- a/tests/cover/test_routing_picker.py
+++ b/tests/cover/test_routing_picker.py
@@ -176,3 +176,12 @@
         picker.set_members(100.0 * count, SERVICE, local_members(count))
     picks = pick_many(picker, 4_000, now_ms=2_000.0)
     assert max(picks.values()) <= 1.5 * 1_000
+
+
+def test_when_no_zone_has_headroom_the_lower_load_is_chosen():
+    picker = new_picker(local_members(1) + remote_members(1))
+    picker.note_reply(0.0, "host-0", 1.4)
+    picker.note_reply(0.0, "far-0", 0.95)
+    assert pick_many(picker, 100) == {"far-0": 100}
+    picker.note_reply(0.0, "far-0", 1.4)
+    assert pick_many(picker, 100) == {"host-0": 100}
