--- a/src/jacinthshed/internal/cli/app.py
+++ b/src/jacinthshed/internal/cli/app.py
@@ -7,6 +7,7 @@
 from .demo_command import demo
 from .exit_codes import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
 from .explain_command import explain
+from .logs_commands import logs_app
 from .node_command import node
 from .status_command import status
 
@@ -18,6 +19,7 @@
 app.command(status)
 app.command(call)
 app.command(explain)
+app.command(logs_app)
 app.command(demo)
 
 
