A node serves once it has read a store that is never stale; SIGHUP reads the settings anew

Cause: a node that started while others were dead waited up to 6 s for them, though the store's answers are never stale; SIGHUP ended the process.

--- a/src/jacinthshed/internal/cli/node_command.py
+++ b/src/jacinthshed/internal/cli/node_command.py
@@ -15,10 +15,10 @@
 
     Example: ``jacinthshed node --settings node.yaml``
 
-    :param settings: The node's settings file. It is read once, at the start.
+    :param settings: The node's settings file. It is read at the start and on SIGHUP.
     """
     loaded = load_settings(settings)
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return EXIT_REFUSED
-    return run_daemon(loaded.unwrap())
+    return run_daemon(loaded.unwrap(), settings)
--- a/src/jacinthshed/internal/discovery/publication.py
+++ b/src/jacinthshed/internal/discovery/publication.py
@@ -32,12 +32,15 @@
 
     ``keys`` names the feeds. ``lists_targets`` says that targets are listed one by one,
     so that requests go to those and to no others; else they go to the members that
-    gossip knows. ``readers`` holds until a policy is in force.
+    gossip knows. ``is_current`` says that a reading is never stale, so that a node
+    which has read everything needs no peer before it serves. ``readers`` holds until a
+    policy is in force.
     """
 
     keys: tuple[str, ...]
     open_bundle: OpenBundle
     feeds: Callable[[Connect, Sinks, LogDecision], Sequence[Feed]]
     lists_targets: bool = False
+    is_current: bool = False
     readers: ReaderPolicy = ReaderPolicy()
     start_window_ms: float = START_WINDOW_MS
--- a/src/jacinthshed/internal/node/__main__.py
+++ b/src/jacinthshed/internal/node/__main__.py
@@ -26,7 +26,7 @@
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return EXIT_USAGE
-    return run_daemon(loaded.unwrap())
+    return run_daemon(loaded.unwrap(), Path(path))
 
 
 if __name__ == "__main__":
--- a/src/jacinthshed/internal/node/daemon.py
+++ b/src/jacinthshed/internal/node/daemon.py
@@ -3,14 +3,17 @@
 import json
 import signal
 import sys
+from pathlib import Path
 from random import SystemRandom
 
 import trio
+from returns.result import Failure
 
 from ..http.network import Network, tcp_network
-from ..settings.model import NodeSettings
+from ..settings.load import load_settings
+from ..settings.model import NodeSettings, changed_keys
 from ..telemetry.counted import counted
-from ..telemetry.log import configure_logging
+from ..telemetry.log import configure_logging, decision, set_decision_share
 from ..telemetry.metrics import Metrics, send_metrics
 from .node import Node, NodeAddresses
 from .seam import Seam
@@ -19,12 +22,15 @@
 EXIT_FAILED = 1
 
 
-def run_daemon(settings: NodeSettings) -> int:
-    """Run a node until it has left on SIGTERM or SIGINT; return the exit code."""
-    return trio.run(_run, settings)
+def run_daemon(settings: NodeSettings, path: Path) -> int:
+    """Run a node until it has left on SIGTERM or SIGINT; return the exit code.
 
+    ``path`` is where ``settings`` were read; SIGHUP reads them anew.
+    """
+    return trio.run(_run, settings, path)
 
-async def _run(settings: NodeSettings) -> int:
+
+async def _run(settings: NodeSettings, path: Path) -> int:
     as_json = {"json": True, "human": False}.get(settings.logs.format)
     stream = {"stdout": sys.stdout, "stderr": sys.stderr}[settings.logs.output]
     sink = configure_logging(
@@ -41,6 +47,7 @@
         if statsd is not None:
             nursery.start_soon(_send_metrics, metrics, settings, node)
         nursery.start_soon(_leave_on_signal, node)
+        nursery.start_soon(_reload_on_signal, settings, path)
         code = await _serve(nursery, node)
         nursery.cancel_scope.cancel()
     return code
@@ -94,6 +101,21 @@
             node.leave()
 
 
+async def _reload_on_signal(settings: NodeSettings, path: Path) -> None:
+    """Follow the settings file where that needs no restart: the share of log lines."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            loaded = load_settings(path)
+            if isinstance(loaded, Failure):
+                decision("reload_refused", reason=str(loaded.failure()))
+                continue
+            changed = changed_keys(settings, loaded.unwrap())
+            settings = loaded.unwrap()
+            set_decision_share(settings.logs.sample)
+            waiting = [key for key in changed if key != "logs"]
+            decision("settings_reloaded", changed=changed, needs_restart=waiting)
+
+
 async def _send_metrics(metrics: Metrics, settings: NodeSettings, node: Node) -> None:
     assert settings.metrics.statsd is not None
     await send_metrics(
--- a/src/jacinthshed/internal/node/feed_task.py
+++ b/src/jacinthshed/internal/node/feed_task.py
@@ -12,7 +12,10 @@
 
 
 class FeedTask:
-    """Reads one feed as often as this node's rank permits."""
+    """Reads one feed as often as this node's rank permits.
+
+    ``tried`` is set after the first call, ``has_answered`` after the first good one.
+    """
 
     def __init__(
         self,
@@ -30,9 +33,10 @@
         self._log = log
         self._is_lost = False
         self.tried = trio.Event()
+        self.has_answered = False
 
     async def run(self) -> None:
-        """Read or watch until cancelled; ``tried`` is set after the first call."""
+        """Read or watch until cancelled."""
         key = self._feed.key
         while True:
             turn = self._reader.next_turn(self._clock.now_ms(), key)
@@ -45,6 +49,7 @@
                 result = await self._feed.read()
             answered = not isinstance(result, Failure)
             if answered:
+                self.has_answered = True
                 self._regained()
             else:
                 self._is_lost = True
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -197,7 +197,7 @@
     async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         """Hear peers and the platform before serving, but not for ever.
 
-        The platform may be stale, so that its bundle is put in force only when the
+        The platform may be stale, and then its bundle is put in force only when the
         peers had their chance to show a higher one.
         """
         tasks = build_feed_tasks(
@@ -211,7 +211,9 @@
         with trio.move_on_after(BOOTSTRAP_TIMEOUT_S):
             for task in tasks:
                 await task.tried.wait()
-            await parts.membership.joined()
+            is_current = self._publication.is_current
+            if not (is_current and all(task.has_answered for task in tasks)):
+                await parts.membership.joined()
         parts.holder.begin_serving()
         nursery.start_soon(self._reach_service, parts)
         self._log("serving", host=self._settings.host, version=parts.holder.order[0])
--- a/src/jacinthshed/internal/platform/seam.py
+++ b/src/jacinthshed/internal/platform/seam.py
@@ -45,6 +45,7 @@
         open_bundle=policy_opener(read_bounds(store.bounds), readers),
         feeds=feeds,
         lists_targets=True,
+        is_current=True,
         readers=readers,
         start_window_ms=START_WINDOW_MS,
     )
--- a/src/jacinthshed/internal/settings/model.py
+++ b/src/jacinthshed/internal/settings/model.py
@@ -119,3 +119,12 @@
     logs: LogSettings = LogSettings()
     metrics: MetricSettings = MetricSettings()
     http: HttpSettings = HttpSettings()
+
+
+def changed_keys(old: NodeSettings, new: NodeSettings) -> list[str]:
+    """Return the keys at the top level whose values differ."""
+    return [
+        name
+        for name in old.__struct_fields__
+        if getattr(old, name) != getattr(new, name)
+    ]
--- a/src/jacinthshed/internal/telemetry/log.py
+++ b/src/jacinthshed/internal/telemetry/log.py
@@ -77,6 +77,11 @@
     return _state.sink
 
 
+def set_decision_share(share: float) -> None:
+    """Change the share of requests whose decisions are logged in any case."""
+    _state.decision_share = share
+
+
 def get_logger(name: str) -> structlog.typing.FilteringBoundLogger:
     """Return a logger whose entries carry ``name``."""
     logger: structlog.typing.FilteringBoundLogger = structlog.get_logger(component=name)
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -258,3 +258,17 @@
         assert trio.current_time() - began < 5.2
 
     played(play)
+
+
+def test_a_node_that_starts_alone_serves_as_soon_as_it_has_read_the_store():
+    async def main():
+        async with machines({"10.0.0.2": "b"}) as fleet:
+            # Listed, but its node is dead: nobody answers at its peer address.
+            dead = entry_of("i-dead", "10.0.0.77", "b")
+            fleet.store.put("servers/i-dead", dead)
+            began = trio.current_time()
+            await fleet.add("10.0.0.1", "a")
+            assert trio.current_time() - began < 1
+            assert fleet.nodes["10.0.0.1"].is_ready
+
+    run_virtual(main)
