--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -4,6 +4,10 @@
 
 from .target_entry import EntryChange, TargetEntry
 
+# Targets that left are remembered so that an older change can't bring them back; this
+# many are more than leave while any change is on its way.
+MAX_REMOVED = 4_096
+
 
 class Directory:
     """The entries as of ``revision``.
@@ -43,10 +47,15 @@
             if old != change.entry:
                 touched |= {entry.service for entry in (old, change.entry) if entry}
         self.revision = max(self.revision, revision)
+        self._forget_removed()
         if touched:
             self._index()
         return sorted(touched)
 
+    def changes_above(self, revision: int) -> list[EntryChange]:
+        """Return the changes that a node at ``revision`` lacks."""
+        return [c for c in self._changes.values() if c.revision > revision]
+
     def services(self) -> tuple[str, ...]:
         """Return the services that have or had targets."""
         return tuple(self._by_service)
@@ -63,6 +72,14 @@
         """Return all targets, also those that are leaving."""
         return [change.entry for change in self._changes.values() if change.entry]
 
+    def _forget_removed(self) -> None:
+        """Bound what is kept of targets that left; the oldest go first."""
+        removed = [c for c in self._changes.values() if c.entry is None]
+        if len(removed) > MAX_REMOVED:
+            removed.sort(key=lambda change: change.revision)
+            for change in removed[: len(removed) - MAX_REMOVED]:
+                del self._changes[change.key]
+
     def _index(self) -> None:
         by_service: dict[str, list[TargetEntry]] = {key: [] for key in self._by_service}
         self._by_address = {}
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -57,6 +57,7 @@
         suspects: Callable[[], Suspects] = tuple,
         all_suspects: Callable[[], Suspects] = tuple,
         platform_age_ms: Callable[[], int] = _never,
+        directory_revision: Callable[[], int] = int,
         linked: Callable[[], Sequence[str]] = _no_hosts,
         is_reachable: Callable[[str], bool] = _always,
     ) -> None:
@@ -67,6 +68,7 @@
         self._suspects = suspects
         self._all_suspects = all_suspects
         self._platform_age_ms = platform_age_ms
+        self._directory_revision = directory_revision
         self._peers = Peers(
             view=view, random=random, linked=linked, is_reachable=is_reachable
         )
@@ -76,6 +78,7 @@
         self._next_expiry_ms = float("-inf")
         self._forwarded_ms = float("-inf")
         self._told_order = bundle_order()
+        self._told_revision = directory_revision()
         self._told_suspects: frozenset[tuple[int, str, str]] = frozenset()
         self.is_joined = False
         self._rumors.add([view.self_record])
@@ -145,6 +148,7 @@
             return []
         self._forwarded_ms = now_ms
         self._told_order = self._bundle_order()
+        self._told_revision = self._directory_revision()
         self._told_suspects = _identities(self._suspects())
         message = self._message(self._rumors.take(self._view, len(peers)))
         return [(peer, message) for peer in peers]
@@ -152,6 +156,8 @@
     def _has_news(self) -> bool:
         if len(self._rumors) or self._bundle_order() != self._told_order:
             return True
+        if self._directory_revision() != self._told_revision:
+            return True
         return not _identities(self._suspects()) <= self._told_suspects
 
     def _answer(self, now_ms: float, sender: str, gossip: Gossip) -> Outbox:
@@ -203,6 +209,7 @@
             bundle_digest=order.digest,
             suspects=self._suspects()[:MAX_SUSPECTS],
             platform_age_ms=self._platform_age_ms(),
+            directory_revision=self._directory_revision(),
         )
 
 
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -1,9 +1,11 @@
 """Hands each frame from a peer to the part of the node that it is for."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from ..bundle.order import BundleOrder
+from ..discovery.directory import Directory
+from ..discovery.target_entry import EntryChange
 from ..fence.instant import Instant
 from ..flow.target import Target
 from ..quarantine.crash import Report
@@ -22,6 +24,7 @@
     StatusData,
     Submit,
 )
+from ..wire.targets import TargetsAsk, TargetsData
 from .clock import Clock
 from .dispatcher import Dispatcher
 from .link import Channel, finish_exchange
@@ -29,13 +32,16 @@
 from .policy_holder import PolicyHolder
 
 BUNDLE_ASK_INTERVAL_MS = 300.0
+# A peer that doesn't answer in this time is not waited for: the next one is asked.
+TARGETS_ASK_INTERVAL_MS = 300.0
 
 
 class FrameRouter:
     """Owns no state but the time of the last question for a bundle.
 
     ``bundle_document`` gives the signed bundle in force, ``status`` the node's status,
-    ``learn_suspect`` takes a peer's report.
+    ``change_targets`` takes what a peer knows of the directory above the own revision,
+    ``learn_suspect`` a peer's report.
     """
 
     def __init__(
@@ -48,6 +54,8 @@
         holder: PolicyHolder,
         bundle_document: Callable[[], bytes | None],
         status: Callable[[], bytes],
+        directory: Directory,
+        change_targets: Callable[[int, Sequence[EntryChange]], None],
         learn_suspect: Callable[[Report], None],
         count_unknown: Callable[[], None],
     ) -> None:
@@ -58,9 +66,12 @@
         self._holder = holder
         self._bundle_document = bundle_document
         self._status = status
+        self._directory = directory
+        self._change_targets = change_targets
         self._learn_suspect = learn_suspect
         self._count_unknown = count_unknown
         self._asked_ms = float("-inf")
+        self._targets_asked_ms = float("-inf")
         self._handlers: dict[type, Callable[[Channel, Any], None]] = {
             Submit: self._on_submit,
             Reply: self._on_answer,
@@ -74,6 +85,8 @@
             BundleAsk: self._on_bundle_ask,
             BundleData: self._on_bundle_data,
             StatusAsk: self._on_status_ask,
+            TargetsAsk: self._on_targets_ask,
+            TargetsData: self._on_targets_data,
         }
 
     def route(self, channel: Channel, frame: Frame) -> None:
@@ -117,6 +130,8 @@
         self._compare(channel, order)
         for report in gossip.suspects:
             self._learn_suspect(report)
+        if gossip.directory_revision > self._directory.revision:
+            self._ask_for_targets(channel)
         self._membership.heard_gossip(channel, gossip)
 
     def _on_leaving(self, channel: Channel, notice: Leaving) -> None:
@@ -136,6 +151,20 @@
     def _on_status_ask(self, channel: Channel, ask: StatusAsk) -> None:
         channel.send(StatusData(ask.request_id, self._status()))
 
+    def _ask_for_targets(self, channel: Channel) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._targets_asked_ms >= TARGETS_ASK_INTERVAL_MS:
+            self._targets_asked_ms = now_ms
+            channel.send(TargetsAsk(self._directory.revision))
+
+    def _on_targets_ask(self, channel: Channel, ask: TargetsAsk) -> None:
+        changes = self._directory.changes_above(ask.above_revision)
+        channel.send(TargetsData(self._directory.revision, tuple(changes)))
+
+    def _on_targets_data(self, channel: Channel, data: TargetsData) -> None:
+        self._targets_asked_ms = float("-inf")
+        self._change_targets(data.revision, data.changes)
+
     def _compare(self, channel: Channel, order: BundleOrder) -> None:
         """Pull the sender's bundle when it is above the one in force."""
         own = self._holder.order
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -177,6 +177,7 @@
             is_backend_up=self._is_backend_up,
             on_pause=self._after_pause,
             on_listed_leaving=self._follow_list,
+            change_targets=self._change_targets,
         )
         parts = build_parts(
             around=self._around, state=state, holder=holder, reader=self._reader
@@ -222,9 +223,20 @@
         await parts.membership.reach_service(self._settings.service)
         parts.state.check.is_known_to_service = True
 
-    def _sinks(self, parts: NodeParts) -> Sinks:
+    def _change_targets(self, revision: int, changes: Sequence[EntryChange]) -> None:
+        if self._parts is not None:
+            self._targets_changed(self._parts.state.directory.apply(revision, changes))
+
+    def _targets_changed(self, services: list[str]) -> None:
+        parts = self._parts
+        if parts is None or not services:
+            return
         directory = parts.state.directory
+        self._log("targets_changed", revision=directory.revision, services=services)
+        parts.membership.heard_list(listed_hosts(directory))
+        parts.follower.targets_changed(services)
 
+    def _sinks(self, parts: NodeParts) -> Sinks:
         def take_bundle(document: bytes) -> None:
             parts.holder.offer(document, "platform")
 
@@ -232,19 +244,10 @@
             if parts.membership.heard_list(listed):
                 self._follow_list()
 
-        def targets_changed(services: list[str]) -> None:
-            if services:
-                self._log("targets_changed", revision=directory.revision)
-                take_hosts(listed_hosts(directory))
-                parts.follower.targets_changed(services)
-
         def replace(revision: int, changes: Sequence[EntryChange]) -> None:
-            targets_changed(directory.replace(revision, changes))
-
-        def change(revision: int, changes: Sequence[EntryChange]) -> None:
-            targets_changed(directory.apply(revision, changes))
+            self._targets_changed(parts.state.directory.replace(revision, changes))
 
-        return Sinks(take_bundle, take_hosts, replace, change)
+        return Sinks(take_bundle, take_hosts, replace, self._change_targets)
 
     def _follow_list(self) -> None:
         """Leave as the platform's list says, unless it speaks of an earlier life."""
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -1,12 +1,13 @@
 """The parts of one node, built and wired to each other."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from functools import partial
 from typing import NamedTuple
 
 from ..bundle.model import MembershipPolicy, SizeLimits
 from ..bundle.readers import PlatformReader
 from ..discovery.publication import Publication
+from ..discovery.target_entry import EntryChange
 from ..edge.edge import Edge
 from ..fence.fence import decode_fence
 from ..http.client import BackendPool
@@ -63,6 +64,7 @@
     is_backend_up: Callable[[], Awaitable[bool]]
     on_pause: Callable[[float], None]
     on_listed_leaving: Callable[[], None]
+    change_targets: Callable[[int, Sequence[EntryChange]], None]
 
 
 class _Wiring:
@@ -149,6 +151,8 @@
         status=lambda: status_document(
             state, holder, leaving=around.is_leaving(), in_flight=gateway.in_flight
         ),
+        directory=state.directory,
+        change_targets=around.change_targets,
         learn_suspect=lambda report: state.suspects.learn(clock.now_ms(), report),
         count_unknown=lambda: around.metrics.increment("frames.unknown"),
     )
@@ -254,6 +258,7 @@
         suspects=lambda: state.suspects.reports(clock.now_ms()),
         all_suspects=lambda: state.suspects.all_reports(clock.now_ms()),
         platform_age_ms=platform_age_ms,
+        directory_revision=lambda: state.directory.revision,
         linked=linked,
         is_reachable=state.failures.is_reachable,
     )
--- a/src/jacinthshed/internal/platform/seam.py
+++ b/src/jacinthshed/internal/platform/seam.py
@@ -23,7 +23,10 @@
 WATCH_MS = 5_000
 # Several changes in a row are each heard of within a fraction of a second.
 NODE_READS_PER_S = 5.0
-READERS_PER_ZONE = 1_000
+# One could be the one that is cut off; what they read reaches the others by gossip.
+READERS_PER_ZONE = 2
+# Others read as well once nobody has heard of the store for this long.
+QUIET_AFTER_MS = 6_000
 
 
 def store_seam(settings: NodeSettings, store: StoreSettings) -> Seam:
@@ -33,6 +36,7 @@
         reads_per_s=store.reads_per_s,
         node_reads_per_s=NODE_READS_PER_S,
         watch_ms=WATCH_MS,
+        quiet_after_ms=QUIET_AFTER_MS,
     )
     peer_port = settings.listen.peer.port
 
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -22,6 +22,7 @@
     StatusData,
     Submit,
 )
+from .targets import TargetsAsk, TargetsData
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 8 * 1024 * 1024
@@ -41,6 +42,8 @@
     BundleData,
     StatusAsk,
     StatusData,
+    TargetsAsk,
+    TargetsData,
 )
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+from .targets import TargetsAsk, TargetsData
+
 Header = tuple[bytes, bytes]
 
 
@@ -127,7 +129,8 @@
     """News about members, with a digest of the sender's whole view.
 
     ``platform_age_ms`` is how long ago the platform last answered anybody that the
-    sender heard of, or -1.
+    sender heard of, or -1. ``directory_revision`` is how far the sender knows the
+    directory of targets.
     """
 
     view_digest: int
@@ -137,6 +140,7 @@
     bundle_digest: bytes
     suspects: tuple[tuple[int, str, str, int], ...]
     platform_age_ms: int = -1
+    directory_revision: int = 0
 
 
 class Heartbeat(NamedTuple):
@@ -193,4 +197,6 @@
     | BundleData
     | StatusAsk
     | StatusData
+    | TargetsAsk
+    | TargetsData
 )
--- a/tests/common/machines.py
+++ b/tests/common/machines.py
@@ -99,16 +99,16 @@
     async def start_store(self):
         await self.nursery.start(serve_store, self.store, self.network, STORE)
 
-    async def add(self, ip, service, *, zone="west-a", is_listed=True):
+    async def add(self, ip, service, *, zone="west-a", is_listed=True, seeds=()):
         """Start a machine: its target, the target's entry and its node."""
         target = self.targets[ip] = PinnedTarget(target_id=f"i-{ip}")
         await self.nursery.start(target.serve, self.network, f"{ip}:4")
         if is_listed:
             entry = entry_of(target.target_id, ip, service, zone=zone)
             self.store.put(f"servers/{target.target_id}", entry)
-        await self.start_node(ip, service, zone=zone)
+        await self.start_node(ip, service, zone=zone, seeds=seeds)
 
-    async def start_node(self, ip, service, *, zone="west-a"):
+    async def start_node(self, ip, service, *, zone="west-a", seeds=()):
         settings = NodeSettings(
             host=ip,
             availability_zone=zone,
@@ -118,6 +118,7 @@
             ),
             backend=BackendSettings(address=Address(ip, 4), health_path=None),
             store=StoreSettings(address=Address("10.200.1.7", 80)),
+            seeds=tuple(Address(seed, 3) for seed in seeds),
         )
         lines = self.logs[ip] = []
         node = self.nodes[ip] = Node(
