--- a/src/jacinthshed/internal/flow/intake.py
+++ b/src/jacinthshed/internal/flow/intake.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from ..admission.work import hash_of_root
+from ..bundle.model import Route
 from ..bundle.route_match import RouteMatch
 from ..fence.key_age import key_refusal
 from ..fence.path import (
@@ -76,7 +77,7 @@
     if len(request.body) > policy.bundle.sizes.request_bytes:
         limit = policy.bundle.sizes.request_bytes
         return _refuse(Reason.TOO_LARGE, f"the body may have {limit} bytes at most")
-    deadline = _deadline_ms(request.headers, match.route.deadline_ms)
+    deadline = _deadline_ms(request.headers, match.route)
     if deadline is None:
         detail = f"Jacinthshed-Deadline-Ms: send 1 to {MAX_DEADLINE_MS}"
         return _refuse(Reason.MALFORMED, detail)
@@ -95,8 +96,6 @@
     path: Path,
 ) -> Intake:
     parent = arrival.parent
-    if match.route.limit_ms:
-        deadline_ms = min(deadline_ms, match.route.limit_ms)
     root_id = parent.root_id if parent else arrival.request_id
     deadline_at_ms = arrival.now_ms + deadline_ms
     if parent is not None:
@@ -220,14 +219,17 @@
     return (header(headers, name) or b"").decode("latin-1").strip()
 
 
-def _deadline_ms(headers: Headers, default_ms: int) -> int | None:
+def _deadline_ms(headers: Headers, route: Route) -> int | None:
     given = header(headers, DEADLINE_HEADER)
+    limit_ms = route.limit_ms or MAX_DEADLINE_MS
     if given is None:
-        return default_ms
+        return min(route.deadline_ms, limit_ms)
     if not given.isdigit() or len(given) > MAX_DEADLINE_DIGITS:
         return None
     deadline_ms = int(given)
-    return deadline_ms if 0 < deadline_ms <= MAX_DEADLINE_MS else None
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        return None
+    return min(deadline_ms, limit_ms)
 
 
 def _forwarded(headers: Headers) -> Headers:
--- a/src/jacinthshed/internal/flow/job.py
+++ b/src/jacinthshed/internal/flow/job.py
@@ -51,3 +51,7 @@
     def running(self) -> bool:
         """Whether the request was handed to the backend server."""
         return self.started_at_ms is not None
+
+    def held_ms(self, now_ms: float) -> float:
+        """Return how long the backend server has had the request."""
+        return 0.0 if self.started_at_ms is None else now_ms - self.started_at_ms
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -19,11 +19,9 @@
 from .job_table import JobTable, join
 from .mark import mark_of
 from .replies import addressed, refusal_reply
+from .target_lines import TargetLines
 from .target_state import TargetState
 
-# Answers from this status on are written with all lines of their attempt.
-FAILED_STATUS = 500
-
 
 class Target:
     """All requests at one backend server, and the decisions about them.
@@ -60,7 +58,7 @@
         self._fold_level = fold_level
         self._list_age_ms = list_age_ms
         self._judge = judge
-        self._log = log
+        self._lines = TargetLines(admission=self._admission, log=log)
         self._jobs = JobTable()
 
     def renew(self, incarnation: int) -> None:
@@ -104,7 +102,7 @@
             suspects=self._suspects,
             judge=self._judge,
         )
-        self._log_attempt(at, job, reply)
+        self._lines.ended(job.submit, reply, job.held_ms(at.now_ms))
         decisions = self._finish(at, job, admission_outcome(result))
         actions = self._reply_all(at, job, reply)
         return actions + self._apply(at, decisions)
@@ -178,7 +176,7 @@
         )
         decisions = self._admission.offer(at.now_ms, work, submit.route)
         if not any(decision.ticket == job.ticket for decision in decisions):
-            self._log_admission("queued", submit)
+            self._lines.admitted("queued", submit)
         return self._apply(at, decisions)
 
     def _apply(self, at: Instant, decisions: list[Decision]) -> list[TargetAction]:
@@ -214,7 +212,7 @@
     def _start(self, at: Instant, job: Job) -> Dispatch:
         submit = job.submit
         job.started_at_ms = at.now_ms
-        self._log_admission("started", submit)
+        self._lines.admitted("started", submit)
         if submit.fence:
             self._memo.dispatched(submit.key)
         self._suspects.started(job.fingerprint)
@@ -223,10 +221,9 @@
         return Dispatch(job.ticket, submit, job.deadline_at_ms - at.now_ms)
 
     def _finish(self, at: Instant, job: Job, outcome: Outcome) -> list[Decision]:
-        started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
         nested_ms = self._nested.take(at.now_ms, job.submit.request_id)
         return self._admission.finish(
-            at.now_ms, job.ticket, at.now_ms - started_ms, outcome, nested_ms
+            at.now_ms, job.ticket, job.held_ms(at.now_ms), outcome, nested_ms
         )
 
     def _reply_all(self, at: Instant, job: Job, reply: Reply) -> list[TargetAction]:
@@ -254,7 +251,7 @@
         self, at: Instant, job: Job, refusal: Refusal
     ) -> list[TargetAction]:
         submit = job.submit
-        self._log_admission("refused", submit, refusal)
+        self._lines.admitted("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         return self._reply_all(at, job, refusal_reply(submit.request_id, refusal))
@@ -262,7 +259,7 @@
     def _refuse_arrival(
         self, at: Instant, link: int, submit: Submit, refusal: Refusal
     ) -> Send:
-        self._log_admission("refused", submit, refusal)
+        self._lines.admitted("refused", submit, refusal)
         if submit.fence:
             refusal = self._memo.refused(at, submit.key, submit.fence, refusal)
         reply = refusal_reply(submit.request_id, refusal)
@@ -300,43 +297,3 @@
         self._admission.withdraw(at.now_ms, job.ticket)
         self._jobs.remove(job)
         return []
-
-    def _log_admission(
-        self, outcome: str, submit: Submit, refusal: Refusal | None = None
-    ) -> None:
-        fields: dict[str, object] = {}
-        if refusal is not None:
-            # Nothing follows on this attempt, so that its lines are due now.
-            fields = {"detail": refusal.detail, "failed": True}
-        self._log(
-            "admission",
-            request_id=submit.request_id.rpartition(".")[0],
-            attempt_id=submit.request_id,
-            route=submit.route,
-            rank=submit.rank,
-            outcome=outcome,
-            reason="" if refusal is None else refusal.reason,
-            running=self._admission.in_flight,
-            waiting=self._admission.waiting,
-            limit=self._admission.limit,
-            left_ms=submit.deadline_ms,
-            policy_version=submit.bundle_version,
-            **fields,
-        )
-
-    def _log_attempt(self, at: Instant, job: Job, reply: Reply) -> None:
-        submit = job.submit
-        started_ms = at.now_ms if job.started_at_ms is None else job.started_at_ms
-        self._log(
-            "attempt_ended",
-            request_id=submit.request_id.rpartition(".")[0],
-            attempt_id=submit.request_id,
-            route=submit.route,
-            target_id=submit.target_id,
-            status=reply.status,
-            verdict=reply.verdict,
-            reason=reply.reason,
-            detail=reply.detail,
-            elapsed_ms=round(at.now_ms - started_ms, 1),
-            failed=not reply.status or reply.status >= FAILED_STATUS,
-        )
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -1,11 +1,10 @@
 """Hands each frame from a peer to the part of the node that it is for."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 from ..bundle.order import BundleOrder
 from ..discovery.directory import Directory
-from ..discovery.target_entry import EntryChange
 from ..fence.instant import Instant
 from ..flow.target import Target
 from ..quarantine.crash import Report
@@ -30,6 +29,7 @@
 from .link import Channel, finish_exchange
 from .membership_task import MembershipTask
 from .policy_holder import PolicyHolder
+from .target_news import TargetNews
 
 BUNDLE_ASK_INTERVAL_MS = 300.0
 # A peer that doesn't answer in this time is not waited for: the next one is asked.
@@ -40,7 +40,7 @@
     """Owns no state but the time of the last question for a bundle.
 
     ``bundle_document`` gives the signed bundle in force, ``status`` the node's status,
-    ``change_targets`` takes what a peer knows of the directory above the own revision,
+    ``news`` takes what a peer knows of the directory above the own revision,
     ``learn_suspect`` a peer's report.
     """
 
@@ -55,7 +55,7 @@
         bundle_document: Callable[[], bytes | None],
         status: Callable[[], bytes],
         directory: Directory,
-        change_targets: Callable[[int, Sequence[EntryChange]], None],
+        news: TargetNews,
         learn_suspect: Callable[[Report], None],
         count_unknown: Callable[[], None],
     ) -> None:
@@ -67,12 +67,15 @@
         self._bundle_document = bundle_document
         self._status = status
         self._directory = directory
-        self._change_targets = change_targets
+        self._news = news
         self._learn_suspect = learn_suspect
         self._count_unknown = count_unknown
         self._asked_ms = float("-inf")
         self._targets_asked_ms = float("-inf")
-        self._handlers: dict[type, Callable[[Channel, Any], None]] = {
+        self._handlers = self._handler_table()
+
+    def _handler_table(self) -> dict[type, Callable[[Channel, Any], None]]:
+        return {
             Submit: self._on_submit,
             Reply: self._on_answer,
             Revoked: self._on_answer,
@@ -163,7 +166,7 @@
 
     def _on_targets_data(self, channel: Channel, data: TargetsData) -> None:
         self._targets_asked_ms = float("-inf")
-        self._change_targets(data.revision, data.changes)
+        self._news.change(data.revision, data.changes)
 
     def _compare(self, channel: Channel, order: BundleOrder) -> None:
         """Pull the sender's bundle when it is above the one in force."""
--- /dev/null
+++ b/src/jacinthshed/internal/node/lookups.py
@@ -0,0 +1,53 @@
+"""What the parts of a node look up in each other."""
+
+from collections.abc import Callable
+
+from ..bundle.model import MembershipPolicy, SizeLimits
+from ..fence.fence import decode_fence
+from ..membership.listed_members import MembersOf, listed_members
+from ..settings.model import NodeSettings
+from .clock import Clock
+from .policy_holder import PolicyHolder
+from .state import NodeState
+
+
+def own_address(settings: NodeSettings) -> str:
+    """Return the address of the backend server beside the node, or ``""``."""
+    return str(settings.backend.address) if settings.backend else ""
+
+
+def members_of(state: NodeState, *, lists_targets: bool) -> MembersOf:
+    """Return the function that gives the targets of a service."""
+    if lists_targets:
+        return listed_members(state.directory, state.view)
+    return state.view.members
+
+
+def target_id_of(state: NodeState) -> Callable[[str, str], str]:
+    """Return the function that gives the id of a service's target on a host."""
+
+    def find(service: str, host: str) -> str:
+        for entry in state.directory.targets(service):
+            if entry.host == host:
+                return entry.target_id
+        return ""
+
+    return find
+
+
+def membership_policy(holder: PolicyHolder) -> MembershipPolicy:
+    """Return the times of gossip and links that are in force."""
+    policy = holder.current()
+    return policy.bundle.membership if policy else MembershipPolicy()
+
+
+def size_limits(holder: PolicyHolder) -> SizeLimits:
+    """Return the limits of messages that are in force."""
+    policy = holder.current()
+    return policy.bundle.sizes if policy else SizeLimits()
+
+
+def fence_left_ms(clock: Clock, token: str) -> float:
+    """Return how long the fence of ``token`` is still valid; 0 for none."""
+    fence = decode_fence(token).value_or(None)
+    return max(0.0, fence.expires_ms - clock.wall_ms()) if fence else 0.0
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -1,7 +1,6 @@
 """One node: its listeners, its tasks and its graceful shutdown."""
 
 from collections.abc import Sequence
-from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -9,32 +8,24 @@
 
 from ..bundle.model import DrainPolicy, SizeLimits
 from ..bundle.store import BundleStore
-from ..discovery.publication import Sinks
-from ..discovery.target_entry import EntryChange
-from ..http.connection_limit import limit_connections
-from ..http.drain import Drain
-from ..http.limits import HttpLimits
-from ..http.message import Request, Response
-from ..http.network import Network, StreamHandler, peer_name
-from ..http.server import Informational, RequestHandler, serve_connection
+from ..http.network import Network
 from ..membership.host_list import ListedHost, should_leave
 from ..membership.incarnation import new_incarnation
-from ..membership.listed_members import listed_hosts
 from ..membership.record_order import LIVE
-from ..settings.address import Address
 from ..settings.model import NodeSettings
 from ..telemetry.log import LogDecision
 from ..telemetry.metrics import Metrics
 from ..wire.frames import MemberRecord
 from .backend_health import build_health_task, is_listening
-from .caller_connections import CallerConnections
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
 from .feed_parts import build_feed_tasks, build_reader
+from .listeners import Listeners
 from .parts import NodeParts, Surroundings, build_parts
 from .policy_holder import PolicyHolder
 from .seam import Seam
 from .state import build_state
 from .status import node_gauges
+from .target_news import make_sinks
 
 BOOTSTRAP_TIMEOUT_S = 6.0
 LEAVE_GRACE_S = 0.5
@@ -76,10 +67,7 @@
         self._wired = trio.Event()
         self._leave_asked = trio.Event()
         self._refuses_callers = False
-        self._entry_drain = Drain()
-        self._callers = CallerConnections()
-        # The egress is never drained: a request that runs here may still need it.
-        self._egress_drain = Drain()
+        self._listeners: Listeners | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -108,27 +96,19 @@
 
         Raises ``OSError`` when an address can't be listened on.
         """
-        listen = self._settings.listen
+        peer_address = str(self._settings.listen.peer)
         async with trio.open_nursery() as nursery:
             peer: str = await nursery.start(
-                self._network.listen, str(listen.peer), self._accept_peer
+                self._network.listen, peer_address, self._accept_peer
             )
             parts = self._build(peer)
-            entry = await self._serve_http(nursery, listen.entry, self._serve_entry)
-            egress = ""
-            if listen.egress is not None:
-                egress = await self._serve_http(
-                    nursery, listen.egress, self._serve_egress
-                )
-            if listen.ready is not None:
-                await self._serve_http(nursery, listen.ready, self._serve_ready)
-            if listen.metrics is not None:
-                await self._serve_http(nursery, listen.metrics, self._serve_metrics)
+            listeners = self._build_listeners(parts)
+            entry, egress = await listeners.start(nursery)
             self._start_tasks(nursery, parts)
             await self._bootstrap(nursery, parts)
             task_status.started(NodeAddresses(entry, egress, peer))
             await self._leave_asked.wait()
-            await self._shut_down(parts)
+            await self._shut_down(parts, listeners)
             nursery.cancel_scope.cancel()
 
     def _own_record(self, peer_address: str) -> MemberRecord:
@@ -177,7 +157,7 @@
             is_backend_up=self._is_backend_up,
             on_pause=self._after_pause,
             on_listed_leaving=self._follow_list,
-            change_targets=self._change_targets,
+            take_hosts=self._take_hosts,
         )
         parts = build_parts(
             around=self._around, state=state, holder=holder, reader=self._reader
@@ -186,6 +166,17 @@
         self._wired.set()
         return parts
 
+    def _build_listeners(self, parts: NodeParts) -> Listeners:
+        self._listeners = Listeners(
+            settings=self._settings,
+            network=self._network,
+            gateway=parts.gateway,
+            sizes=self._sizes,
+            is_ready=lambda: self.is_ready,
+            metrics_page=self._metrics_page,
+        )
+        return self._listeners
+
     def _start_tasks(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         parts.links.start(nursery)
         parts.dispatcher.start(nursery)
@@ -205,7 +196,7 @@
             around=self._around,
             holder=parts.holder,
             reader=self._reader,
-            sinks=self._sinks(parts),
+            sinks=make_sinks(parts.holder, parts.news, self._take_hosts),
         )
         for task in tasks:
             nursery.start_soon(task.run)
@@ -223,31 +214,10 @@
         await parts.membership.reach_service(self._settings.service)
         parts.state.check.is_known_to_service = True
 
-    def _change_targets(self, revision: int, changes: Sequence[EntryChange]) -> None:
-        if self._parts is not None:
-            self._targets_changed(self._parts.state.directory.apply(revision, changes))
-
-    def _targets_changed(self, services: list[str]) -> None:
-        parts = self._parts
-        if parts is None or not services:
-            return
-        directory = parts.state.directory
-        self._log("targets_changed", revision=directory.revision, services=services)
-        parts.membership.heard_list(listed_hosts(directory))
-        parts.follower.targets_changed(services)
-
-    def _sinks(self, parts: NodeParts) -> Sinks:
-        def take_bundle(document: bytes) -> None:
-            parts.holder.offer(document, "platform")
-
-        def take_hosts(listed: Sequence[ListedHost]) -> None:
-            if parts.membership.heard_list(listed):
-                self._follow_list()
-
-        def replace(revision: int, changes: Sequence[EntryChange]) -> None:
-            self._targets_changed(parts.state.directory.replace(revision, changes))
-
-        return Sinks(take_bundle, take_hosts, replace, self._change_targets)
+    def _take_hosts(self, listed: Sequence[ListedHost]) -> None:
+        assert self._parts is not None
+        if self._parts.membership.heard_list(listed):
+            self._follow_list()
 
     def _follow_list(self) -> None:
         """Leave as the platform's list says, unless it speaks of an earlier life."""
@@ -256,7 +226,7 @@
             self._log("leaving", reason="the platform's list shows this host leaving")
             self.leave()
 
-    async def _shut_down(self, parts: NodeParts) -> None:
+    async def _shut_down(self, parts: NodeParts, listeners: Listeners) -> None:
         """Leave without cutting a request: tell, wait until peers know, finish."""
         self._log("leaving", host=self._settings.host)
         parts.membership.announce(parts.state.view.leave(self._clock.now_ms()))
@@ -267,9 +237,9 @@
         await trio.sleep(max(LEAVE_GRACE_S, drain.callers_ms / MS_PER_S))
         parts.state.check.refuse_new_work()
         self._refuses_callers = True
-        self._entry_drain.start()
+        listeners.drain_entry()
         with trio.move_on_at(deadline_s):
-            while self._is_busy(parts):
+            while self._is_busy(parts, listeners):
                 await trio.sleep(DRAIN_POLL_S)
         parts.membership.announce(parts.state.view.exit(self._clock.now_ms()))
         with trio.move_on_after(FLUSH_TIMEOUT_S):
@@ -277,74 +247,32 @@
                 await link.flushed()
         self._log("left", host=self._settings.host)
 
-    def _is_busy(self, parts: NodeParts) -> bool:
+    def _is_busy(self, parts: NodeParts, listeners: Listeners) -> bool:
         """Return whether a request is in hand, up to the last byte of its answer."""
-        if parts.state.target.jobs or parts.gateway.in_flight:
-            return True
-        return bool(self._entry_drain.busy or self._egress_drain.busy)
+        in_hand = parts.state.target.jobs + parts.gateway.in_flight
+        return bool(in_hand or listeners.busy)
 
     async def _accept_peer(self, stream: trio.abc.Stream) -> None:
         await self._wired.wait()
         assert self._parts is not None
         await self._parts.links.accept(stream)
 
-    async def _serve_entry(self, stream: trio.abc.Stream) -> None:
-        assert self._parts is not None
-        caller = peer_name(stream)
-        handler = partial(self._parts.gateway.serve_entry, caller=caller)
-        with self._callers.connection():
-            await self._serve(stream, handler, self._entry_drain)
-
     def _after_pause(self, length_ms: float) -> None:
         policy = self._parts.holder.current() if self._parts else None
-        if policy is not None and length_ms > policy.bundle.fence.lifetime_ms:
-            self._callers.close_all()
-
-    async def _serve_egress(self, stream: trio.abc.Stream) -> None:
-        assert self._parts is not None
-        handler = self._parts.gateway.serve_egress
-        await self._serve(stream, handler, self._egress_drain)
-
-    async def _serve(
-        self, stream: trio.abc.Stream, handler: RequestHandler, drain: Drain
-    ) -> None:
-        http = self._settings.http
-        sizes = self._sizes()
-        limits = HttpLimits(
-            head_bytes=sizes.head_bytes or http.head_bytes,
-            body_bytes=sizes.request_bytes,
-            idle_ms=sizes.idle_ms or http.idle_ms,
-            read_ms=sizes.read_ms or http.read_ms,
-        )
-        await serve_connection(
-            stream,
-            handler,
-            limits=limits,
-            drain=drain,
-            cancel_on_disconnect=True,
-        )
+        if policy is None or self._listeners is None:
+            return
+        if length_ms > policy.bundle.fence.lifetime_ms:
+            self._listeners.close_callers()
 
     def _sizes(self) -> SizeLimits:
         policy = self._parts.holder.current() if self._parts else None
         return policy.bundle.sizes if policy else SizeLimits()
 
-    async def _serve_ready(self, stream: trio.abc.Stream) -> None:
-        await self._serve(stream, self._answer_ready, self._egress_drain)
-
-    async def _answer_ready(self, request: Request, interim: Informational) -> Response:
-        return Response(200 if self.is_ready else 503)
-
-    async def _serve_metrics(self, stream: trio.abc.Stream) -> None:
-        await self._serve(stream, self._answer_metrics, self._egress_drain)
-
-    async def _answer_metrics(
-        self, request: Request, interim: Informational
-    ) -> Response:
+    def _metrics_page(self) -> bytes:
         # Imported at the first question, as a node is to start quickly.
         from ..telemetry.exposition import metrics_page
 
-        headers = ((b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),)
-        return Response(200, headers, metrics_page(self._metrics, self.gauges()))
+        return metrics_page(self._metrics, self.gauges())
 
     @property
     def is_ready(self) -> bool:
@@ -356,17 +284,6 @@
         )
         return bool(knows_targets and self._parts.holder.current())
 
-    async def _serve_http(
-        self,
-        nursery: trio.Nursery,
-        address: Address,
-        handler: StreamHandler,
-    ) -> str:
-        limit = self._settings.http.connections
-        limited = limit_connections(handler, max_connections=limit)
-        bound: str = await nursery.start(self._network.listen, str(address), limited)
-        return bound
-
     async def _is_backend_up(self) -> bool:
         backend = self._settings.backend
         if backend is None:
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -4,16 +4,13 @@
 from functools import partial
 from typing import NamedTuple
 
-from ..bundle.model import MembershipPolicy, SizeLimits
 from ..bundle.readers import PlatformReader
 from ..discovery.publication import Publication
-from ..discovery.target_entry import EntryChange
 from ..edge.edge import Edge
-from ..fence.fence import decode_fence
 from ..http.client import BackendPool
 from ..http.network import Network
 from ..membership.gossip import Gossiper
-from ..membership.listed_members import MembersOf, listed_members
+from ..membership.host_list import ListedHost
 from ..settings.model import NodeSettings
 from ..telemetry.log import LogDecision
 from ..telemetry.metrics import Metrics
@@ -27,11 +24,20 @@
 from .link import Channel
 from .links import LinkTable
 from .local_link import LocalLink
+from .lookups import (
+    fence_left_ms,
+    members_of,
+    membership_policy,
+    own_address,
+    size_limits,
+    target_id_of,
+)
 from .membership_task import MembershipTask
 from .policy_follower import PolicyFollower
 from .policy_holder import PolicyHolder
 from .state import NodeState
 from .status import status_document
+from .target_news import TargetNews
 
 BACKEND_CONNECTIONS = 64
 
@@ -41,12 +47,12 @@
 
     state: NodeState
     holder: PolicyHolder
-    follower: PolicyFollower
     links: LinkTable
     membership: MembershipTask
     dispatcher: Dispatcher
     gateway: Gateway
     pool: BackendPool
+    news: TargetNews
 
 
 class Surroundings(NamedTuple):
@@ -64,7 +70,7 @@
     is_backend_up: Callable[[], Awaitable[bool]]
     on_pause: Callable[[float], None]
     on_listed_leaving: Callable[[], None]
-    change_targets: Callable[[int, Sequence[EntryChange]], None]
+    take_hosts: Callable[[Sequence[ListedHost]], None]
 
 
 class _Wiring:
@@ -96,8 +102,8 @@
         links=links,
         clock=around.clock,
         edge=around.edge,
-        sizes=lambda: _sizes(holder),
-        fence_left_ms=lambda token: _fence_left_ms(around.clock, token),
+        sizes=lambda: size_limits(holder),
+        fence_left_ms=lambda token: fence_left_ms(around.clock, token),
         is_backend_up=around.is_backend_up,
     )
     follower = PolicyFollower(
@@ -105,31 +111,30 @@
         reader=reader,
         pool=pool,
         perform=dispatcher.perform,
-        members_of=_members_of(around, state),
-        own_address=_own_address(around),
+        members_of=members_of(state, lists_targets=around.publication.lists_targets),
+        own_address=own_address(around.settings),
         clock=around.clock,
     )
     holder.follow(follower.follow)
     membership = _build_membership(around, state, holder, reader, links, follower)
     holder.follow(membership.follow)
     gateway = _build_gateway(around, state, holder, links, membership)
+    news = _build_news(around, state, follower)
     wiring.router = _build_router(
-        around, state, holder, dispatcher, membership, gateway
+        around, state, holder, dispatcher, membership, gateway, news
     )
-    return NodeParts(
-        state, holder, follower, links, membership, dispatcher, gateway, pool
-    )
-
+    return NodeParts(state, holder, links, membership, dispatcher, gateway, pool, news)
 
-def _own_address(around: Surroundings) -> str:
-    backend = around.settings.backend
-    return str(backend.address) if backend else ""
 
-
-def _members_of(around: Surroundings, state: NodeState) -> MembersOf:
-    if around.publication.lists_targets:
-        return listed_members(state.directory, state.view)
-    return state.view.members
+def _build_news(
+    around: Surroundings, state: NodeState, follower: PolicyFollower
+) -> TargetNews:
+    return TargetNews(
+        directory=state.directory,
+        on_hosts=around.take_hosts,
+        on_services=follower.targets_changed,
+        log=around.log,
+    )
 
 
 def _build_router(
@@ -139,6 +144,7 @@
     dispatcher: Dispatcher,
     membership: MembershipTask,
     gateway: Gateway,
+    news: TargetNews,
 ) -> FrameRouter:
     clock = around.clock
     return FrameRouter(
@@ -152,7 +158,7 @@
             state, holder, leaving=around.is_leaving(), in_flight=gateway.in_flight
         ),
         directory=state.directory,
-        change_targets=around.change_targets,
+        news=news,
         learn_suspect=lambda report: state.suspects.learn(clock.now_ms(), report),
         count_unknown=lambda: around.metrics.increment("frames.unknown"),
     )
@@ -181,7 +187,7 @@
     links = LinkTable(
         connect=around.network.connect,
         clock=around.clock,
-        policy=lambda: _membership_policy(holder),
+        policy=lambda: membership_policy(holder),
         hello=hello,
         address_of=address_of,
         on_frame=wiring.on_frame,
@@ -197,7 +203,7 @@
 def _build_pool(around: Surroundings) -> BackendPool:
     return BackendPool(
         connect=around.network.connect,
-        address=_own_address(around),
+        address=own_address(around.settings),
         max_connections=BACKEND_CONNECTIONS,
     )
 
@@ -252,7 +258,7 @@
 
     return Gossiper(
         view=state.view,
-        policy=_membership_policy(holder),
+        policy=membership_policy(holder),
         random=state.random,
         bundle_order=lambda: holder.order,
         suspects=lambda: state.suspects.reports(clock.now_ms()),
@@ -276,7 +282,7 @@
         around.clock,
         holder.current,
         around.edge,
-        _target_id_of(state),
+        target_id_of(state),
         around.log,
     )
     return Gateway(
@@ -294,28 +300,3 @@
         observe=partial(make_observer, calls),
         log=around.log,
     )
-
-
-def _target_id_of(state: NodeState) -> Callable[[str, str], str]:
-    def target_id_of(service: str, host: str) -> str:
-        for entry in state.directory.targets(service):
-            if entry.host == host:
-                return entry.target_id
-        return ""
-
-    return target_id_of
-
-
-def _membership_policy(holder: PolicyHolder) -> MembershipPolicy:
-    policy = holder.current()
-    return policy.bundle.membership if policy else MembershipPolicy()
-
-
-def _sizes(holder: PolicyHolder) -> SizeLimits:
-    policy = holder.current()
-    return policy.bundle.sizes if policy else SizeLimits()
-
-
-def _fence_left_ms(clock: Clock, token: str) -> float:
-    fence = decode_fence(token).value_or(None)
-    return max(0.0, fence.expires_ms - clock.wall_ms()) if fence else 0.0
--- a/src/jacinthshed/internal/node/policy_follower.py
+++ b/src/jacinthshed/internal/node/policy_follower.py
@@ -1,6 +1,6 @@
 """Makes the state of a node follow the bundle in force."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from ..bundle.readers import PlatformReader
 from ..fence.instant import Instant
@@ -68,7 +68,7 @@
         now_ms = self._clock.now_ms()
         state.picker.set_members(now_ms, service, (*chosen.local, *chosen.spill))
 
-    def targets_changed(self, services: Iterable[str]) -> None:
+    def targets_changed(self, services: Sequence[str]) -> None:
         """Follow the directory, also in what it says of this node's own target."""
         for service in services:
             self.members_changed(service)
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -83,10 +83,8 @@
     judge: JudgeAnswer,
     log: Callable[..., None],
 ) -> NodeState:
-    """Return the state of a node that has just started and knows nothing.
-
-    Policies are the defaults until a bundle comes into force.
-    """
+    """Return the state of a node that has just started; its policies are defaults."""
+    membership = MembershipPolicy()
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
     parts = _build_target_state(record, now_ms, policy, levels, random)
@@ -109,8 +107,8 @@
         levels=levels,
         view=view,
         directory=Directory(),
-        failures=FailureTracker(policy=MembershipPolicy()),
-        pauses=PauseDetector(pause_after_ms=MembershipPolicy().pause_after_ms),
+        failures=FailureTracker(policy=membership),
+        pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
         picker=_build_picker(record, random),
         ballots=Ballots(host=record.host, incarnation=record.incarnation),
         target=target,
--- a/src/jacinthshed/internal/platform/store.py
+++ b/src/jacinthshed/internal/platform/store.py
@@ -4,7 +4,8 @@
 import binascii
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
-from typing import NamedTuple, TypeVar
+from functools import partial
+from typing import NamedTuple, Protocol, TypeVar
 from urllib.parse import urlencode
 
 import h11
@@ -24,6 +25,7 @@
 
 _MS_PER_S = 1_000
 _T = TypeVar("_T")
+Query = dict[str, str | int]
 
 
 class StoreFault(StrEnum):
@@ -99,6 +101,14 @@
     store_revision: int
 
 
+class _Call(Protocol):
+    """Makes one call and decodes its answer."""
+
+    async def __call__(
+        self, path: str, query: Query, type_: type[_T], wait_ms: int = 0
+    ) -> Result[_T, StoreError]: ...
+
+
 def http_store(*, address: str, connect: Connect) -> Store:
     """Return the store at ``address``.
 
@@ -106,7 +116,7 @@
     """
 
     async def call(
-        path: str, query: dict[str, str | int], type_: type[_T], wait_ms: int = 0
+        path: str, query: Query, type_: type[_T], wait_ms: int = 0
     ) -> Result[_T, StoreError]:
         timeout_ms = READ_TIMEOUT_MS + wait_ms
         with trio.move_on_after(timeout_ms / _MS_PER_S):
@@ -118,36 +128,33 @@
         answer = await call("/kv-key", {"key": key}, _ItemAnswer)
         return answer.bind(lambda got: _reading(got.store_revision, [got]))
 
-    async def read_all(prefix: str) -> Result[Reading, StoreError]:
-        items: list[_Item] = []
-        revision = 0
-        query: dict[str, str | int] = {"prefix": prefix}
-        for _ in range(MAX_PAGES):
-            answer = await call("/kv-range", query, _RangeAnswer)
-            if isinstance(answer, Failure):
-                return Failure(answer.failure())
-            page = answer.unwrap()
-            # Pages are read at different moments: what changed after the first one
-            # was read is told again by a watch from there.
-            revision = revision or page.store_revision
-            items += page.items
-            if not page.has_more or not page.items:
-                return _reading(revision, items)
-            query["after"] = page.items[-1].key
-        return Failure(StoreError(StoreFault.MALFORMED, f"over {MAX_PAGES} pages"))
-
     async def watch(
         prefix: str, after: int, wait_ms: int
     ) -> Result[Reading, StoreError]:
-        query: dict[str, str | int] = {
-            "prefix": prefix,
-            "after": after,
-            "wait_ms": wait_ms,
-        }
+        query: Query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
         answer = await call("/kv-watch", query, _WatchAnswer, wait_ms)
         return answer.bind(lambda got: _reading(got.store_revision, got.events))
 
-    return Store(read, read_all, watch)
+    return Store(read, partial(_read_all, call), watch)
+
+
+async def _read_all(call: _Call, prefix: str) -> Result[Reading, StoreError]:
+    items: list[_Item] = []
+    revision = 0
+    query: Query = {"prefix": prefix}
+    for _ in range(MAX_PAGES):
+        answer = await call("/kv-range", query, _RangeAnswer)
+        if isinstance(answer, Failure):
+            return Failure(answer.failure())
+        page = answer.unwrap()
+        # Pages are read at different moments: what changed after the first one was
+        # read is told again by a watch from there.
+        revision = revision or page.store_revision
+        items += page.items
+        if not page.has_more or not page.items:
+            return _reading(revision, items)
+        query["after"] = page.items[-1].key
+    return Failure(StoreError(StoreFault.MALFORMED, f"over {MAX_PAGES} pages"))
 
 
 async def _get(
