--- a/src/jacinthshed/internal/node/backend_health.py
+++ b/src/jacinthshed/internal/node/backend_health.py
@@ -5,8 +5,8 @@
 from ..http.client import BackendPool
 from ..http.network import Network
 from .health_task import HealthTask
-from .parts import Surroundings
 from .state import NodeState
+from .surroundings import Surroundings
 
 CHECK_TIMEOUT_S = 0.2
 
--- a/src/jacinthshed/internal/node/feed_parts.py
+++ b/src/jacinthshed/internal/node/feed_parts.py
@@ -8,8 +8,8 @@
 from ..settings.model import NodeSettings
 from .clock import Clock
 from .feed_task import FeedTask
-from .parts import Surroundings
 from .policy_holder import PolicyHolder
+from .surroundings import Surroundings
 
 
 def build_reader(
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -20,11 +20,12 @@
 from .clock import MS_PER_S, SYSTEM_CLOCK, Clock
 from .feed_parts import build_feed_tasks, build_reader
 from .listeners import Listeners
-from .parts import NodeParts, Surroundings, build_parts
+from .parts import NodeParts, build_parts
 from .policy_holder import PolicyHolder
 from .seam import Seam
 from .state import build_state
 from .status import node_gauges
+from .surroundings import Surroundings
 from .target_news import make_sinks
 
 BOOTSTRAP_TIMEOUT_S = 6.0
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -1,23 +1,15 @@
 """The parts of one node, built and wired to each other."""
 
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Iterable
 from functools import partial
 from typing import NamedTuple
 
 from ..bundle.readers import PlatformReader
-from ..discovery.publication import Publication
-from ..edge.edge import Edge
 from ..http.client import BackendPool
-from ..http.network import Network
 from ..membership.gossip import Gossiper
-from ..membership.host_list import ListedHost
-from ..settings.model import NodeSettings
-from ..telemetry.log import LogDecision
-from ..telemetry.metrics import Metrics
 from ..wire.codec import PROTOCOL_VERSION
 from ..wire.frames import Frame, Hello
 from .call_tools import CallSurroundings, make_observer, make_tools
-from .clock import Clock
 from .dispatcher import Dispatcher
 from .frame_router import FrameRouter
 from .gateway import Gateway
@@ -37,6 +29,7 @@
 from .policy_holder import PolicyHolder
 from .state import NodeState
 from .status import status_document
+from .surroundings import Surroundings
 from .target_news import TargetNews
 
 BACKEND_CONNECTIONS = 64
@@ -55,24 +48,6 @@
     news: TargetNews
 
 
-class Surroundings(NamedTuple):
-    """What the parts of a node get from outside."""
-
-    settings: NodeSettings
-    network: Network
-    clock: Clock
-    metrics: Metrics
-    publication: Publication
-    edge: Edge
-    log: LogDecision
-    is_leaving: Callable[[], bool]
-    refuses_callers: Callable[[], bool]
-    is_backend_up: Callable[[], Awaitable[bool]]
-    on_pause: Callable[[float], None]
-    on_listed_leaving: Callable[[], None]
-    take_hosts: Callable[[Sequence[ListedHost]], None]
-
-
 class _Wiring:
     """Breaks the circle between links and the router of their frames."""
 
--- /dev/null
+++ b/src/jacinthshed/internal/node/surroundings.py
@@ -0,0 +1,31 @@
+"""What the parts of a node get from outside."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+from ..discovery.publication import Publication
+from ..edge.edge import Edge
+from ..http.network import Network
+from ..membership.host_list import ListedHost
+from ..settings.model import NodeSettings
+from ..telemetry.log import LogDecision
+from ..telemetry.metrics import Metrics
+from .clock import Clock
+
+
+class Surroundings(NamedTuple):
+    """What the parts of a node get from outside."""
+
+    settings: NodeSettings
+    network: Network
+    clock: Clock
+    metrics: Metrics
+    publication: Publication
+    edge: Edge
+    log: LogDecision
+    is_leaving: Callable[[], bool]
+    refuses_callers: Callable[[], bool]
+    is_backend_up: Callable[[], Awaitable[bool]]
+    on_pause: Callable[[float], None]
+    on_listed_leaving: Callable[[], None]
+    take_hosts: Callable[[Sequence[ListedHost]], None]
