--- a/src/jacinthshed/internal/routing/picker.py
+++ b/src/jacinthshed/internal/routing/picker.py
@@ -19,6 +19,9 @@
 
 MAX_REFUSAL_MS = 5_000.0
 FULL_LOAD = 1.0
+# Loads that differ by less change from one answer to the next; following them would
+# move work between zones for nothing.
+SPILL_MARGIN = 0.15
 
 
 class Pick(NamedTuple):
@@ -108,12 +111,12 @@
         if local is not None and self._has_headroom(now_ms, local):
             return _pick(now_ms, local, LOCAL)
         spill = pools.spill.draw(now_ms, exclude, self._random)
-        if spill is not None and self._has_headroom(now_ms, spill):
-            return _pick(now_ms, spill, SPILL)
-        full = _less_loaded(now_ms, local, spill)
-        if full is not None:
-            return _pick(now_ms, full, NO_HEADROOM)
-        return self._last_resort(pools, exclude)
+        chosen = _better(now_ms, local, spill)
+        if chosen is None:
+            return self._last_resort(pools, exclude)
+        if not self._has_headroom(now_ms, chosen):
+            return _pick(now_ms, chosen, NO_HEADROOM)
+        return _pick(now_ms, chosen, SPILL if chosen is spill else LOCAL)
 
     def sent(self, host: str) -> None:
         """Note that an attempt was sent to ``host``."""
@@ -174,11 +177,12 @@
         return Pick(first.host, (first.host, first.host), LAST_RESORT)
 
 
-def _less_loaded(now_ms: float, local: Draw | None, spill: Draw | None) -> Draw | None:
-    """Return the draw with the lower load; the own zone's where they are equal."""
+def _better(now_ms: float, local: Draw | None, spill: Draw | None) -> Draw | None:
+    """Return the draw of the own zone, unless the other's load is clearly lower."""
     if local is None or spill is None:
         return local or spill
-    is_lower = spill.best.known_load(now_ms) < local.best.known_load(now_ms)
+    spill_load = spill.best.known_load(now_ms)
+    is_lower = spill_load + SPILL_MARGIN < local.best.known_load(now_ms)
     return spill if is_lower else local
 
 
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -24,7 +24,7 @@
 )
 from .targets import TargetsAsk, TargetsData
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 _LENGTH = struct.Struct(">I")
