News of targets wait for two seconds after a long outage of the store

Cause: entries that nobody could renew expire during an outage; the first reading after it listed no target, though they lived.

--- a/src/jacinthshed/internal/configuration_service/publication.py
+++ b/src/jacinthshed/internal/configuration_service/publication.py
@@ -1,12 +1,13 @@
 """The product's own source of policy and hosts: the configuration service."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import trio
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from ..bundle.opened import OpenBundle
-from ..discovery.feed import Feed
+from ..discovery.feed import Feed, TakeIn
 from ..discovery.publication import Publication, Sinks
 from ..http.network import Connect
 from ..membership.host_list import ListedHost
@@ -57,15 +58,12 @@
             revision = versioned.revision
             on_value(versioned.value)
 
-    async def read() -> Result[None, PlatformError]:
-        return (await platform.read(key)).map(take)
+    async def read() -> Result[TakeIn, PlatformError]:
+        return (await platform.read(key)).map(lambda got: partial(take, got))
 
-    async def watch(wait_ms: int) -> Result[None, PlatformError]:
+    async def watch(wait_ms: int) -> Result[TakeIn, PlatformError]:
         watched = await platform.watch(key, revision, wait_ms)
-        if isinstance(watched, Failure):
-            return Failure(watched.failure())
-        take(watched.unwrap())
-        return Success(None)
+        return watched.map(lambda got: partial(take, got))
 
     return Feed(key, read, watch)
 
--- a/src/jacinthshed/internal/discovery/feed.py
+++ b/src/jacinthshed/internal/discovery/feed.py
@@ -5,15 +5,18 @@
 
 from returns.result import Result
 
+TakeIn = Callable[[], None]
+"""Takes in what was read."""
+
 
 class Feed(NamedTuple):
     """How one key is read, and how its changes are waited for.
 
-    ``read`` takes in what is there now. ``watch`` waits for a change, at most for the
+    ``read`` reads what is there now. ``watch`` waits for a change, at most for the
     milliseconds that it is given. Neither raises for an outage; a failure holds an
     error whose text says what is wrong.
     """
 
     key: str
-    read: Callable[[], Awaitable[Result[None, object]]]
-    watch: Callable[[int], Awaitable[Result[None, object]]]
+    read: Callable[[], Awaitable[Result[TakeIn, object]]]
+    watch: Callable[[int], Awaitable[Result[TakeIn, object]]]
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -184,7 +184,15 @@
     )
     if wait_ms is None:
         return None
-    around.log("shed_at_entry", request_id=call.request_id, route=call.route)
+    level = state.levels.strictest(now_ms, (call.route,))
+    around.log(
+        "shed_at_entry",
+        request_id=call.request_id,
+        route=call.route,
+        rank=call.rank,
+        shed_rank=level.rank,
+        retry_after_ms=wait_ms,
+    )
     return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
 
 
--- a/src/jacinthshed/internal/node/feed_parts.py
+++ b/src/jacinthshed/internal/node/feed_parts.py
@@ -1,5 +1,6 @@
 """The parts of a node that read its policy and hosts from outside."""
 
+from collections.abc import Callable
 from random import Random
 
 from ..bundle.model import ReaderPolicy
@@ -33,6 +34,7 @@
     holder: PolicyHolder,
     reader: PlatformReader,
     sinks: Sinks,
+    on_regained: Callable[[float], None],
 ) -> list[FeedTask]:
     """Return the tasks that follow the policy and the hosts."""
 
@@ -47,6 +49,7 @@
             reader=reader,
             clock=around.clock,
             watch_ms=watch_ms,
+            on_regained=on_regained,
             log=around.log,
         )
         for feed in feeds
--- a/src/jacinthshed/internal/node/feed_task.py
+++ b/src/jacinthshed/internal/node/feed_task.py
@@ -15,6 +15,8 @@
     """Reads one feed as often as this node's rank permits.
 
     ``tried`` is set after the first call, ``has_answered`` after the first good one.
+    ``on_regained`` hears how long no call succeeded, before the first reading after it
+    is taken in.
     """
 
     def __init__(
@@ -24,6 +26,7 @@
         reader: PlatformReader,
         clock: Clock,
         watch_ms: Callable[[], int],
+        on_regained: Callable[[float], None],
         log: LogDecision,
     ) -> None:
         self._feed = feed
@@ -31,7 +34,8 @@
         self._clock = clock
         self._watch_ms = watch_ms
         self._log = log
-        self._is_lost = False
+        self._on_regained = on_regained
+        self._lost_ms: float | None = None
         self.tried = trio.Event()
         self.has_answered = False
 
@@ -51,13 +55,18 @@
             if answered:
                 self.has_answered = True
                 self._regained()
+                result.unwrap()()
             else:
-                self._is_lost = True
+                if self._lost_ms is None:
+                    self._lost_ms = self._clock.now_ms()
                 self._log("platform_failed", key=key, reason=str(result.failure()))
             self._reader.finished(self._clock.now_ms(), key, answered=answered)
             self.tried.set()
 
     def _regained(self) -> None:
-        if self._is_lost:
-            self._is_lost = False
-            self._log("platform_regained", key=self._feed.key)
+        if self._lost_ms is None:
+            return
+        outage_ms = self._clock.now_ms() - self._lost_ms
+        self._lost_ms = None
+        self._log("platform_regained", key=self._feed.key, outage_ms=round(outage_ms))
+        self._on_regained(outage_ms)
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -186,6 +186,7 @@
             nursery.start_soon(task.run)
         nursery.start_soon(parts.dispatcher.expire_waiting)
         nursery.start_soon(parts.membership.run)
+        nursery.start_soon(parts.news.run)
 
     async def _bootstrap(self, nursery: trio.Nursery, parts: NodeParts) -> None:
         """Hear peers and the platform before serving, but not for ever.
@@ -198,6 +199,7 @@
             holder=parts.holder,
             reader=self._reader,
             sinks=make_sinks(parts.holder, parts.news, self._take_hosts),
+            on_regained=parts.news.regained,
         )
         for task in tasks:
             nursery.start_soon(task.run)
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -106,6 +106,7 @@
 ) -> TargetNews:
     return TargetNews(
         directory=state.directory,
+        clock=around.clock,
         on_hosts=around.take_hosts,
         on_services=follower.targets_changed,
         log=around.log,
--- a/src/jacinthshed/internal/platform/feeds.py
+++ b/src/jacinthshed/internal/platform/feeds.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
-from ..discovery.feed import Feed
+from ..discovery.feed import Feed, TakeIn
 from ..discovery.publication import Sinks
 from .desired_state import POLICY_KEY
 from .store import Reading, Store, StoreError, StoreFault
@@ -48,17 +48,16 @@
     """Return a feed that remembers up to which revision it is complete."""
     revision = 0
 
-    async def read() -> Result[None, object]:
+    async def read() -> Result[TakeIn, object]:
         nonlocal revision
         result = await read_now()
         if isinstance(result, Failure):
             return Failure(result.failure())
         reading = result.unwrap()
         revision = reading.revision
-        on_read(reading)
-        return Success(None)
+        return Success(lambda: on_read(reading))
 
-    async def watch(wait_ms: int) -> Result[None, object]:
+    async def watch(wait_ms: int) -> Result[TakeIn, object]:
         nonlocal revision
         result = await store.watch(prefix, revision, wait_ms)
         if isinstance(result, Failure):
@@ -67,7 +66,6 @@
             return Failure(result.failure())
         reading = result.unwrap()
         revision = max(revision, reading.revision)
-        on_change(reading)
-        return Success(None)
+        return Success(lambda: on_change(reading))
 
     return Feed(prefix, read, watch)
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -60,11 +60,11 @@
             state.put(f"servers/t{number}", entry_of(f"t{number}", ip, "b"))
         state.put("other/t", b"not a target")
         followed = Followed(store)
-        (await followed.targets.read()).unwrap()
+        (await followed.targets.read()).unwrap()()
         assert state.calls == ["/kv-range"] * 4
         assert followed.ids == {f"t{number}" for number in range(10)}
         state.delete("servers/t3")
-        (await followed.targets.watch(WATCH_MS)).unwrap()
+        (await followed.targets.watch(WATCH_MS)).unwrap()()
         assert followed.ids == {f"t{n}" for n in range(10) if n != 3}
 
     played(play, page_items=3)
@@ -75,11 +75,11 @@
         state.put("servers/t1", entry_of("t1", "10.0.0.1", "b"))
         state.put("servers/t2", entry_of("t2", "10.0.0.2", "b"))
         followed = Followed(store)
-        (await followed.targets.read()).unwrap()
+        (await followed.targets.read()).unwrap()()
         state.delete("servers/t1")
         state.put("servers/t3", entry_of("t3", "10.0.0.3", "b"))
         state.compact()
-        (await followed.targets.watch(WATCH_MS)).unwrap()
+        (await followed.targets.watch(WATCH_MS)).unwrap()()
         assert followed.ids == {"t2", "t3"}
 
     played(play)
@@ -100,7 +100,7 @@
         state.put("op/config", desired_state())
         state.put("servers/t1", entry_of("t1", "10.0.0.1", "b"))
         followed = Followed(store)
-        (await followed.targets.read()).unwrap()
+        (await followed.targets.read()).unwrap()()
         for feed in (followed.policy, followed.targets):
             state.faults.append(mode)
             error = (await feed.read()).failure()
@@ -110,7 +110,7 @@
         assert (await followed.targets.watch(WATCH_MS)).failure().fault is fault
         assert followed.ids == {"t1"}
         assert not followed.documents
-        (await followed.policy.read()).unwrap()
+        (await followed.policy.read()).unwrap()()
         assert followed.documents == [desired_state()]
 
     played(play)
@@ -119,9 +119,9 @@
 def test_a_watch_without_news_ends_in_time():
     async def play(state, store):
         followed = Followed(store)
-        (await followed.targets.read()).unwrap()
+        (await followed.targets.read()).unwrap()()
         began = trio.current_time()
-        (await followed.targets.watch(WATCH_MS)).unwrap()
+        (await followed.targets.watch(WATCH_MS)).unwrap()()
         assert 0.999 <= trio.current_time() - began < 1.5
 
     played(play)
@@ -161,3 +161,32 @@
             assert "platform_regained" in events
 
     run_virtual(main)
+
+
+def test_targets_whose_entries_expired_during_an_outage_are_not_taken_for_gone():
+    async def main():
+        layout = {"10.0.0.1": "a", "10.0.0.2": "b", "10.0.0.3": "b"}
+        async with machines(layout) as fleet:
+            fleet.store.faults.extend([StoreFaultMode.BUSY] * 1_000)
+            await trio.sleep(12)
+            fleet.store.delete("servers/i-10.0.0.2")
+            fleet.store.delete("servers/i-10.0.0.3")
+            fleet.store.faults.clear()
+            fleet.store.calls.clear()
+            first_read_s = None
+            for number in range(200):
+                now_s = trio.current_time()
+                if first_read_s is None and fleet.store.calls:
+                    first_read_s = now_s
+                if first_read_s and 1.5 <= now_s - first_read_s < 1.6:
+                    back = entry_of("i-10.0.0.2", "10.0.0.2", "b")
+                    fleet.store.put("servers/i-10.0.0.2", back)
+                sent = request("/lookup/1", f"l{number}")
+                answer = await fleet.send("10.0.0.1", sent)
+                assert answer.status == 200
+                await trio.sleep(0.09)
+            # One did not come back, and is gone a little later.
+            directory = fleet.nodes["10.0.0.1"]._parts.state.directory
+            assert [found.host for found in directory.targets("b")] == ["10.0.0.2"]
+
+    run_virtual(main)
