Reads of the store back off to a second at most

Cause: after failures in a row a node read again only after up to ten seconds, though a change is to be in force two seconds after the store is stable. The test fails with the old bound.

--- a/src/jacinthshed/internal/bundle/model.py
+++ b/src/jacinthshed/internal/bundle/model.py
@@ -142,7 +142,8 @@
 
     ``per_zone`` nodes of an availability zone hold a watch. All readers together
     stay under ``reads_per_s``, and each under ``node_reads_per_s`` whatever it believes
-    about the size of the fleet.
+    about the size of the fleet. ``max_backoff_ms`` bounds the wait after failures in a
+    row.
     """
 
     per_zone: int = 2
@@ -150,6 +151,7 @@
     node_reads_per_s: float = 1.0
     watch_ms: int = 10_000
     quiet_after_ms: int = 15_000
+    max_backoff_ms: int = 10_000
 
 
 class SizeLimits(_Section, frozen=True, kw_only=True):
--- a/src/jacinthshed/internal/bundle/readers.py
+++ b/src/jacinthshed/internal/bundle/readers.py
@@ -19,7 +19,6 @@
 # Time between two stages of stepping in; also the spread within a stage.
 STAGE_MS = 5_000.0
 FIRST_BACKOFF_MS = 500.0
-MAX_BACKOFF_MS = 10_000.0
 # How soon a node that has nothing to read looks again, at the latest.
 MAX_WAIT_MS = 1_000.0
 # Added to an age at each hop. It has to exceed the usual delay of a message: else the
@@ -145,7 +144,9 @@
         state.failures += 1
         # Half fixed and half random: no read at once, and no two nodes in step.
         share = 0.5 + 0.5 * self._random.random()
-        state.not_before_ms = now_ms + share * min(backoff_ms, MAX_BACKOFF_MS)
+        state.not_before_ms = now_ms + share * min(
+            backoff_ms, self._policy.max_backoff_ms
+        )
 
     def _wanted(self, now_ms: float, state: _KeyState) -> tuple[ReadAction, str, float]:
         if not state.read_once:
--- a/src/jacinthshed/internal/platform/seam.py
+++ b/src/jacinthshed/internal/platform/seam.py
@@ -27,6 +27,8 @@
 READERS_PER_ZONE = 2
 # Others read as well once nobody has heard of the store for this long.
 QUIET_AFTER_MS = 6_000
+# Changes are expected to be in force two seconds after the store is stable again.
+MAX_BACKOFF_MS = 1_000
 
 
 def store_seam(settings: NodeSettings, store: StoreSettings) -> Seam:
@@ -37,6 +39,7 @@
         node_reads_per_s=NODE_READS_PER_S,
         watch_ms=WATCH_MS,
         quiet_after_ms=QUIET_AFTER_MS,
+        max_backoff_ms=MAX_BACKOFF_MS,
     )
     peer_port = settings.listen.peer.port
 
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -190,3 +190,18 @@
             assert [found.host for found in directory.targets("b")] == ["10.0.0.2"]
 
     run_virtual(main)
+
+
+def test_a_change_is_in_force_two_seconds_after_the_store_is_back():
+    async def main():
+        async with machines({"10.0.0.1": "a", "10.0.0.2": "b"}) as fleet:
+            for version in range(2, 10):
+                fleet.store.faults.extend([StoreFaultMode.BUSY] * 1_000)
+                await trio.sleep(20 + version)
+                fleet.store.faults.clear()
+                fleet.store.put("op/config", desired_state(version))
+                await trio.sleep(2)
+                for node in fleet.nodes.values():
+                    assert node._parts.holder.order.version == version
+
+    run_virtual(main)
