--- a/src/jacinthshed/internal/node/daemon.py
+++ b/src/jacinthshed/internal/node/daemon.py
@@ -7,14 +7,13 @@
 from random import SystemRandom
 
 import trio
-from returns.result import Failure
 
 from ..http.network import Network, tcp_network
-from ..settings.load import load_settings
-from ..settings.model import NodeSettings, changed_keys
+from ..settings.model import NodeSettings
 from ..telemetry.counted import counted
-from ..telemetry.log import configure_logging, decision, set_decision_share
+from ..telemetry.log import configure_logging
 from ..telemetry.metrics import Metrics, send_metrics
+from .follow_settings import follow_settings
 from .node import Node, NodeAddresses
 from .seam import Seam
 
@@ -47,7 +46,7 @@
         if statsd is not None:
             nursery.start_soon(_send_metrics, metrics, settings, node)
         nursery.start_soon(_leave_on_signal, node)
-        nursery.start_soon(_reload_on_signal, settings, path)
+        nursery.start_soon(follow_settings, settings, path, node.leave)
         code = await _serve(nursery, node)
         nursery.cancel_scope.cancel()
     return code
@@ -101,21 +100,6 @@
             node.leave()
 
 
-async def _reload_on_signal(settings: NodeSettings, path: Path) -> None:
-    """Follow the settings file where that needs no restart: the share of log lines."""
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            loaded = load_settings(path)
-            if isinstance(loaded, Failure):
-                decision("reload_refused", reason=str(loaded.failure()))
-                continue
-            changed = changed_keys(settings, loaded.unwrap())
-            settings = loaded.unwrap()
-            set_decision_share(settings.logs.sample)
-            waiting = [key for key in changed if key != "logs"]
-            decision("settings_reloaded", changed=changed, needs_restart=waiting)
-
-
 async def _send_metrics(metrics: Metrics, settings: NodeSettings, node: Node) -> None:
     assert settings.metrics.statsd is not None
     await send_metrics(
