A service that loses an address to another is told, and each request names its target

Nodes went on picking the host for the old service, did not find the id of its target, and sent requests without one, which the new target ran. Now all services whose targets differ are told, and a host whose target has no known id is passed over. Both tests failed before.

--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -21,6 +21,7 @@
         self._changes: dict[str, EntryChange] = {}
         self._by_service: dict[str, tuple[TargetEntry, ...]] = {}
         self._by_address: dict[str, TargetEntry] = {}
+        self._listed: dict[str, frozenset[TargetEntry]] = {}
 
     def replace(self, revision: int, entries: Iterable[EntryChange]) -> list[str]:
         """Take a full reading of the directory; return the services that changed.
@@ -37,20 +38,16 @@
 
     def apply(self, revision: int, changes: Iterable[EntryChange]) -> list[str]:
         """Take in ``changes``, complete up to ``revision``; return changed services."""
-        touched: set[str] = set()
+        is_changed = False
         for change in changes:
             known = self._changes.get(change.key)
             if known is not None and known.revision >= change.revision:
                 continue
             self._changes[change.key] = change
-            old = known.entry if known else None
-            if old != change.entry:
-                touched |= {entry.service for entry in (old, change.entry) if entry}
+            is_changed |= change.entry != (known.entry if known else None)
         self.revision = max(self.revision, revision)
         self._forget_removed()
-        if touched:
-            self._index()
-        return sorted(touched)
+        return self._index() if is_changed else []
 
     def changes_above(self, revision: int) -> list[EntryChange]:
         """Return the changes that a node at ``revision`` lacks."""
@@ -80,7 +77,9 @@
             for change in removed[: len(removed) - MAX_REMOVED]:
                 del self._changes[change.key]
 
-    def _index(self) -> None:
+    def _index(self) -> list[str]:
+        """Sort the entries; return the services with other targets than before."""
+        before = self._listed
         by_service: dict[str, list[TargetEntry]] = {key: [] for key in self._by_service}
         self._by_address = {}
         # Of two targets at one address the later start holds it.
@@ -92,6 +91,18 @@
             if not entry.leaving:
                 places.append(entry)
         self._by_service = {key: tuple(found) for key, found in by_service.items()}
+        self._listed = {
+            service: frozenset(
+                e for e in self._by_address.values() if e.service == service
+            )
+            for service in self._by_service
+        }
+        none: frozenset[TargetEntry] = frozenset()
+        return sorted(
+            service
+            for service, listed in self._listed.items()
+            if listed != before.get(service, none)
+        )
 
 
 def _start_order(change: EntryChange) -> tuple[int, int]:
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -30,7 +30,8 @@
 class CallSurroundings(NamedTuple):
     """What the tools of a call are bound to.
 
-    ``target_id_of`` gives the id of the target of a service on a host, or ``""``.
+    ``target_id_of`` gives the id of the target of a service on a host, or ``""``;
+    ``names_targets`` says that each request has to name its target.
     """
 
     state: NodeState
@@ -38,6 +39,7 @@
     policy: Callable[[], Policy | None]
     edge: Edge
     target_id_of: Callable[[str, str], str]
+    names_targets: bool
     log: LogDecision
 
     @property
@@ -100,6 +102,11 @@
 def _pick(around: CallSurroundings, call: Call, tried: frozenset[str]) -> str | None:
     now_ms = around.clock.now_ms()
     choice = around.state.picker.pick(now_ms, call.service, tried)
+    if choice and around.names_targets:
+        # A request without the id of its target could run at whatever has its address.
+        while choice and not around.target_id_of(call.service, choice.host):
+            tried |= {choice.host}
+            choice = around.state.picker.pick(now_ms, call.service, tried)
     around.log(
         "routing",
         request_id=call.request_id,
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -254,12 +254,13 @@
     membership: MembershipTask,
 ) -> Gateway:
     calls = CallSurroundings(
-        state,
-        around.clock,
-        holder.current,
-        around.edge,
-        target_id_of(state),
-        around.log,
+        state=state,
+        clock=around.clock,
+        policy=holder.current,
+        edge=around.edge,
+        target_id_of=target_id_of(state),
+        names_targets=around.publication.lists_targets,
+        log=around.log,
     )
     return Gateway(
         clock=around.clock,
--- a/tests/cover/test_discovery_directory.py
+++ b/tests/cover/test_discovery_directory.py
@@ -74,3 +74,11 @@
     assert directory.apply(1, [EntryChange("p", 1, gone)]) == ["a"]
     assert directory.targets("a") == ()
     assert directory.at("10.0.0.1:4") == gone
+
+
+def test_a_service_that_loses_an_address_to_another_is_told():
+    directory = Directory()
+    directory.apply(1, [EntryChange("p", 1, entry("p", "a", started=5))])
+    changes = [EntryChange("q", 2, entry("q", "b", started=6))]
+    assert directory.apply(2, changes) == ["a", "b"]
+    assert directory.targets("a") == ()
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -282,3 +282,18 @@
             assert fleet.nodes["10.0.0.1"].is_ready
 
     run_virtual(main)
+
+
+def test_a_request_never_runs_at_a_service_that_took_over_an_address():
+    async def play(fleet):
+        # The old entry is still listed when the new one appears.
+        reused = entry_of("i-new", "10.0.0.2", "a", born=2)
+        fleet.targets["10.0.0.2"].target_id = "i-new"
+        for number in range(100):
+            if number == 5:
+                fleet.store.put("servers/i-new", reused)
+            sent = request("/lookup/1", f"l{number}")
+            assert (await fleet.send("10.0.0.1", sent)).status == 503
+        assert not fleet.targets["10.0.0.2"].runs
+
+    played(play)
