--- a/src/jacinthshed/internal/telemetry/counted.py
+++ b/src/jacinthshed/internal/telemetry/counted.py
@@ -18,15 +18,24 @@
     outcome. A field ``elapsed_ms`` goes to the timer ``EVENT.elapsed_ms``.
     """
 
+    # Names are joined once for each pair, as this is on the path of every call.
+    joined: dict[tuple[str, object], str] = {}
+
+    def name_of(event: str, value: object) -> str:
+        name = joined.get((event, value))
+        if name is None:
+            name = joined[event, value] = f"{event}.{value}"
+        return name
+
     def log_and_count(event: str, **fields: Any) -> None:
         metrics.increment(event)
-        for name in _COUNTED_FIELDS:
-            value = fields.get(name)
+        for field in _COUNTED_FIELDS:
+            value = fields.get(field)
             if isinstance(value, StrEnum):
-                metrics.increment(f"{event}.{value}")
+                metrics.increment(name_of(event, value))
         elapsed_ms = fields.get(_ELAPSED_FIELD)
         if elapsed_ms is not None:
-            metrics.timing(f"{event}.{_ELAPSED_FIELD}", elapsed_ms)
+            metrics.timing(name_of(event, _ELAPSED_FIELD), elapsed_ms)
         log(event, **fields)
 
     return log_and_count
