--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -1,5 +1,6 @@
 """One connection to a backend server, and one exchange on it."""
 
+import functools
 from collections.abc import Callable
 
 import h11
@@ -9,6 +10,7 @@
 from .head import HEAD_END
 from .message import (
     CONTENT_LENGTH,
+    HOST,
     Headers,
     Informational,
     Request,
@@ -16,6 +18,7 @@
     without_connection_fields,
 )
 from .response_head import ResponseHead, read_response_head
+from .write_head import request_head
 
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
@@ -177,8 +180,15 @@
     headers = list(request.headers)
     if request.body or request.method in _METHODS_WITH_BODY:
         headers.append((CONTENT_LENGTH, str(len(request.body)).encode()))
-    event = h11.Request(method=request.method, target=request.target, headers=headers)
-    return (library.send(event) or b"") + request.body
+    head = request_head(request.method, request.target, headers)
+    # The library has to see a request of this method before it reads the response.
+    library.send(_request_event(request.method))
+    return head + request.body
+
+
+@functools.lru_cache(maxsize=32)
+def _request_event(method: bytes) -> h11.Request:
+    return h11.Request(method=method, target=b"/", headers=[(HOST, b"")])
 
 
 def _next_event(library: h11.Connection) -> object:
--- a/src/jacinthshed/internal/http/head.py
+++ b/src/jacinthshed/internal/http/head.py
@@ -9,7 +9,13 @@
 import h11
 
 from .errors import BadRequestError
-from .message import CONTENT_LENGTH, TRANSFER_ENCODING, Headers, header
+from .message import (
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING,
+    Headers,
+    asks_to_close,
+    header,
+)
 
 HEAD_END = b"\r\n\r\n"
 
@@ -31,12 +37,17 @@
 
 
 class Head(NamedTuple):
-    """A request's head. ``body_length`` is ``None`` for a chunked body."""
+    """A request's head.
+
+    ``body_length`` is ``None`` for a chunked body. ``keeps_open`` tells whether the
+    client wants to send another request after it.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body_length: int | None
+    keeps_open: bool
 
 
 def parse_head(head: bytes, connection: h11.Connection) -> Head:
@@ -55,7 +66,13 @@
         raise BadRequestError(400, "send a request line and header fields")
     headers = tuple(event.headers)
     _check_request_line(event)
-    return Head(event.method, event.target, headers, _body_length(event, headers))
+    return Head(
+        method=event.method,
+        target=event.target,
+        headers=headers,
+        body_length=_body_length(event, headers),
+        keeps_open=event.http_version == b"1.1" and not asks_to_close(headers),
+    )
 
 
 def _check_lines(head: bytes) -> None:
--- a/src/jacinthshed/internal/http/message.py
+++ b/src/jacinthshed/internal/http/message.py
@@ -6,6 +6,7 @@
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
 
+HOST = b"host"
 CONTENT_LENGTH = b"content-length"
 CONNECTION = b"connection"
 KEEP_ALIVE = b"keep-alive"
@@ -63,6 +64,13 @@
     return None
 
 
+def asks_to_close(headers: Headers) -> bool:
+    """Return whether a message says that its connection closes after it."""
+    return any(
+        name == CONNECTION and b"close" in value.lower() for name, value in headers
+    )
+
+
 def without_connection_fields(headers: Headers) -> Headers:
     """Return ``headers`` less those that concern one connection only.
 
--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -20,10 +20,14 @@
 
 
 class IncomingRequest(NamedTuple):
-    """A whole request, and the library's state for writing its response."""
+    """A whole request, and the library's state for writing its response.
+
+    ``keeps_open`` tells whether the client wants to send another one after it.
+    """
 
     request: Request
     connection: h11.Connection
+    keeps_open: bool
 
 
 class RequestReader:
@@ -125,7 +129,7 @@
         body = await self._read_body(parsed.body_length, connection)
         headers = without_connection_fields(parsed.headers)
         request = Request(parsed.method, parsed.target, headers, body)
-        return IncomingRequest(request, connection)
+        return IncomingRequest(request, connection, parsed.keeps_open)
 
     async def _read_head(self) -> bytes:
         searched = 0
--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -6,12 +6,12 @@
 import h11
 
 from .message import (
-    CONNECTION,
     CONTENT_LENGTH,
     KEEP_ALIVE,
     TRANSFER_ENCODING,
     Headers,
     Request,
+    asks_to_close,
     header,
     without_connection_fields,
 )
@@ -42,7 +42,7 @@
     length = header(fields, CONTENT_LENGTH)
     kept = without_connection_fields(fields)
     idle_ms = _idle_ms(header(fields, KEEP_ALIVE))
-    stays = event.http_version == b"1.1" and not _asks_to_close(fields)
+    stays = event.http_version == b"1.1" and not asks_to_close(fields)
     if request.method == b"HEAD" or event.status_code in _NO_BODY_STATUSES:
         # Here the length is that of a body which is not sent.
         if request.method == b"HEAD" and length is not None:
@@ -55,10 +55,6 @@
     return ResponseHead(event.status_code, kept, int(length), stays, idle_ms)
 
 
-def _asks_to_close(fields: Headers) -> bool:
-    return b"close" in (header(fields, CONNECTION) or b"").lower()
-
-
 def _idle_ms(keep_alive: bytes | None) -> float | None:
     found = _IDLE_TIMEOUT.search(keep_alive) if keep_alive else None
     return int(found[1]) * _MS_PER_S if found else None
--- a/src/jacinthshed/internal/http/response_writer.py
+++ b/src/jacinthshed/internal/http/response_writer.py
@@ -4,6 +4,7 @@
 
 from .message import CONTENT_LENGTH, Header, Response
 from .request_reader import IncomingRequest
+from .write_head import response_head
 
 _CONNECTION_CLOSE = (b"connection", b"close")
 _NO_BODY_STATUSES = (204, 304)
@@ -20,6 +21,8 @@
     else:
         body = response.body
         headers.append(_length(body))
+    if incoming.keeps_open and not last and body is response.body:
+        return response_head(response.status, headers) + body
     if last:
         headers.append(_CONNECTION_CLOSE)
     event = h11.Response(status_code=response.status, headers=headers)
