--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -342,6 +342,9 @@
         first, last = fleet.targets["10.0.0.1"], fleet.targets["10.0.0.2"]
         first.before_answer = lambda got: call_below(fleet, got)
         last.work_ms = 200
+        roomy = entry_of("i-10.0.0.1", "10.0.0.1", "a", slots=40)
+        fleet.store.put("servers/i-10.0.0.1", roomy)
+        await fleet.settle()
         statuses = []
 
         async def send(number):
