--- a/src/jacinthshed/internal/platform/bounds.py
+++ b/src/jacinthshed/internal/platform/bounds.py
@@ -9,17 +9,14 @@
 class Bounds(NamedTuple):
     """Figures that policy is made from; the defaults hold where one isn't given.
 
-    A target's node may go on for ``leave_ms`` after it is told to end. Targets get work
-    for at most ``target_leave_ms`` after the store lists them as leaving. Attempts
-    beyond the first are at most ``retry_ratio`` of the requests plus ``retry_slack``,
-    over all nodes and any window of ``retry_window_ms``.
+    A node may go on for ``leave_ms`` after it is told to end. Attempts beyond the first
+    are at most ``retry_ratio`` of the requests plus ``retry_slack``, over all nodes and
+    any window that the operators name.
     """
 
     leave_ms: int = 6_000
-    target_leave_ms: int = 2_000
     retry_ratio: float = 0.2
     retry_slack: int = 48
-    retry_window_ms: int = 10_000
 
 
 def read_bounds(values: Mapping[str, object]) -> Bounds:
@@ -35,8 +32,6 @@
 
     return Bounds(
         leave_ms=span_ms("grace_s", default.leave_ms),
-        target_leave_ms=span_ms("drain_s", default.target_leave_ms),
         retry_ratio=number("retry_budget_ratio", default.retry_ratio),
         retry_slack=int(number("budget_slack", default.retry_slack)),
-        retry_window_ms=span_ms("budget_window_s", default.retry_window_ms),
     )
