--- a/src/jacinthshed/internal/flow/arrival_check.py
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -30,7 +30,7 @@
         shed_below_ms: Callable[[Instant, Submit], int | None],
     ) -> None:
         self._policy = policy
-        self.suspects = suspects
+        self._suspects = suspects
         self._shed_below_ms = shed_below_ms
         self._refusing = False
         self.backend_is_up = True
@@ -83,7 +83,7 @@
         return at.wall_ms - submit.deadline_wall_ms > skew_ms
 
     def _suspicion(self, at: Instant, mark: int) -> Refusal | None:
-        check = self.suspects.check(at.now_ms, mark)
+        check = self._suspects.check(at.now_ms, mark)
         if isinstance(check, Quarantined):
             return _refuse(Reason.QUARANTINED, check.retry_after_ms)
         if isinstance(check, RunAlone) and check.busy:
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -6,6 +6,7 @@
 
 from ..admission.admission import Admission
 from ..admission.levels import LevelTable
+from ..admission.shed_level import ShedLevel
 from ..bundle.model import (
     AdmissionPolicy,
     FencePolicy,
@@ -17,6 +18,7 @@
 from ..bundle.store import BundleStore
 from ..discovery.directory import Directory
 from ..fence.ballot import Ballots
+from ..fence.instant import Instant
 from ..fence.memo import FenceMemo
 from ..flow.arrival_check import ArrivalCheck
 from ..flow.backend_outcome import JudgeAnswer
@@ -34,7 +36,7 @@
 from ..retry.refused_lately import RefusedLately
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
-from ..wire.frames import MemberRecord
+from ..wire.frames import MemberRecord, Submit
 from .levels_below import calls_of, level_folder, shed_below
 
 MEMO_MAX_ENTRIES = 100_000
@@ -86,26 +88,14 @@
     log: Callable[..., None],
 ) -> NodeState:
     """Return the state of a node that has just started; its policies are defaults."""
-    membership = MembershipPolicy()
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
     learned = LearnedCalls()
     calls = calls_of(policy, learned)
-    check = ArrivalCheck(
-        policy=policy,
-        suspects=Suspects(policy=QuarantinePolicy()),
-        shed_below_ms=shed_below(calls, levels, random),
-    )
-    parts = _build_target_state(record, now_ms, check)
-    target = Target(
-        host=record.host,
-        incarnation=record.incarnation,
-        state=parts,
-        fold_level=level_folder(calls, levels),
-        list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
-        judge=judge,
-        log=log,
-    )
+    check_below = shed_below(calls, levels, random)
+    parts = _build_target_state(record, now_ms, policy, check_below)
+    fold_level = level_folder(calls, levels)
+    target = _build_target(record, view, parts, fold_level, judge, log)
     return NodeState(
         **parts._asdict(),
         record=record,
@@ -117,21 +107,45 @@
         levels=levels,
         view=view,
         directory=Directory(),
-        failures=FailureTracker(policy=membership),
-        pauses=PauseDetector(pause_after_ms=membership.pause_after_ms),
+        failures=FailureTracker(policy=MembershipPolicy()),
+        pauses=PauseDetector(pause_after_ms=MembershipPolicy().pause_after_ms),
         picker=_build_picker(record, random),
         ballots=Ballots(host=record.host, incarnation=record.incarnation),
         target=target,
     )
 
 
+def _build_target(
+    record: MemberRecord,
+    view: View,
+    parts: TargetState,
+    fold_level: Callable[[Instant, str, ShedLevel], ShedLevel],
+    judge: JudgeAnswer,
+    log: Callable[..., None],
+) -> Target:
+    return Target(
+        host=record.host,
+        incarnation=record.incarnation,
+        state=parts,
+        fold_level=fold_level,
+        list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
+        judge=judge,
+        log=log,
+    )
+
+
 def _build_target_state(
-    record: MemberRecord, now_ms: float, check: ArrivalCheck
+    record: MemberRecord,
+    now_ms: float,
+    policy: Callable[[], Policy | None],
+    shed_below_ms: Callable[[Instant, Submit], int | None],
 ) -> TargetState:
+    suspects = Suspects(policy=QuarantinePolicy())
+    check = ArrivalCheck(policy=policy, suspects=suspects, shed_below_ms=shed_below_ms)
     return TargetState(
         admission=Admission(slots=1, queue=1, policy=AdmissionPolicy()),
         memo=_build_memo(record, now_ms),
-        suspects=check.suspects,
+        suspects=suspects,
         ledger=AllowanceLedger(),
         contexts=ContextRegistry(),
         nested=NestedTime(),
