--- a/src/jacinthshed/internal/edge/own.py
+++ b/src/jacinthshed/internal/edge/own.py
@@ -21,6 +21,7 @@
     """Return the edge that ``docs/interface.md`` describes."""
     return Edge(
         request_id=_no_request_id,
+        parent_id=lambda headers: "",
         read_call=read_call,
         refuse_early=refuse_early,
         refused=_refused,
--- a/src/jacinthshed/internal/flow/context.py
+++ b/src/jacinthshed/internal/flow/context.py
@@ -44,16 +44,22 @@
         self._fences: dict[str, dict[str, str]] = {}
         self._shared: dict[str, set[str]] = {}
         self._call_numbers: dict[str, int] = {}
+        self._attempts: dict[str, str] = {}
 
     def open(self, parent: ParentContext) -> None:
         """Make ``parent`` visible to nested calls."""
         self._parents[parent.request_id] = parent
         self._calls_done[parent.request_id] = 0
+        self._attempts[parent.request_id.rpartition(".")[0]] = parent.request_id
 
     def get(self, request_id: str) -> ParentContext | None:
         """Return the running request of that id."""
         return self._parents.get(request_id)
 
+    def running(self, request_id: str) -> ParentContext | None:
+        """Return the running attempt of the request with that id, if it runs here."""
+        return self._parents.get(self._attempts.get(request_id, ""))
+
     def calls_done(self, request_id: str) -> int:
         """Return how many calls below the request were answered."""
         return self._calls_done.get(request_id, 0)
@@ -94,6 +100,9 @@
         self._fences.pop(request_id, None)
         self._shared.pop(request_id, None)
         self._call_numbers.pop(request_id, None)
+        base = request_id.rpartition(".")[0]
+        if self._attempts.get(base) == request_id:
+            del self._attempts[base]
         return self._calls_done.pop(request_id, 0)
 
     def __len__(self) -> int:
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -19,6 +19,7 @@
     Intake,
     nested_key,
 )
+from ..flow.learned_calls import LearnedCalls
 from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.steps import CallEnd
@@ -71,6 +72,7 @@
         refuses_callers: Callable[[], bool],
         confirmed: Callable[[], Awaitable[None]],
         nested: NestedTime,
+        learned: LearnedCalls,
         observe: Callable[[Call], ExchangeObserver],
         log: LogDecision,
     ) -> None:
@@ -85,6 +87,7 @@
         self._refuses_callers = refuses_callers
         self._confirmed = confirmed
         self._nested = nested
+        self._learned = learned
         self._observe = observe
         self._log = log
         self.in_flight = 0
@@ -92,11 +95,15 @@
     async def serve_entry(
         self, request: Request, interim: Informational, *, caller: str = ""
     ) -> Response:
-        """Answer a request from ``caller``; a context on it means nothing."""
+        """Answer a request from ``caller``, or a call of the own backend server.
+
+        A context on it means nothing here.
+        """
         if self._refuses_callers():
             refusal = Refusal(Verdict.NOT_RUN, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return self._refuse(request, self._request_id(request), refusal)
-        return await self._serve(request, interim, None, caller)
+        parent = self._contexts.running(self._edge.parent_id(request.headers))
+        return await self._serve(request, interim, parent, caller)
 
     async def serve_egress(self, request: Request, interim: Informational) -> Response:
         """Answer a call of this node's own backend server."""
@@ -210,15 +217,18 @@
         return CallerPort(announce, alive if asked else None)
 
     def _open(self, call: Call) -> None:
-        if not call.parent_id:
+        if call.ledger_id == call.request_id:
             self._ledger.open(call.ledger_id, call.allowance)
-        elif self._contexts.get(call.parent_id) is not None:
-            self._nested.began(self._clock.now_ms(), call.parent_id)
+        parent = self._contexts.get(call.parent_id)
+        if parent is not None:
+            now_ms = self._clock.now_ms()
+            self._nested.began(now_ms, call.parent_id)
+            self._learned.note(now_ms, parent.route, call.route)
 
     def _close(self, call: Call) -> None:
         if call.parent_id:
             self._nested.ended(self._clock.now_ms(), call.parent_id)
-        else:
+        if call.ledger_id == call.request_id:
             self._ledger.close(call.ledger_id)
 
     def _note_end(self, call: Call, end: CallEnd, began_ms: float) -> None:
--- a/src/jacinthshed/internal/node/levels_below.py
+++ b/src/jacinthshed/internal/node/levels_below.py
@@ -6,29 +6,44 @@
 from ..admission.levels import LevelTable
 from ..admission.shed_level import ShedLevel
 from ..fence.instant import Instant
+from ..flow.learned_calls import LearnedCalls
 from ..flow.policy import Policy
 from ..wire.frames import Submit
 
+CallsOf = Callable[[float, str], tuple[str, ...]]
+"""Returns the routes below a route at a moment in milliseconds."""
+
+
+def calls_of(policy: Callable[[], Policy | None], learned: LearnedCalls) -> CallsOf:
+    """Return the function that gives declared calls, else learned ones."""
+
+    def calls(now_ms: float, route_name: str) -> tuple[str, ...]:
+        current = policy()
+        route = current.bundle.routes.get(route_name) if current else None
+        declared = route.calls if route is not None else ()
+        return declared or learned.below(now_ms, route_name)
+
+    return calls
+
 
 def shed_below(
-    policy: Callable[[], Policy | None], levels: LevelTable, random: Random
+    calls: CallsOf, levels: LevelTable, random: Random
 ) -> Callable[[Instant, Submit], int | None]:
     """Return the check of a request against the levels of the routes it will call."""
 
     def shed_below_ms(at: Instant, submit: Submit) -> int | None:
-        current = policy()
-        route = current.bundle.routes.get(submit.route) if current else None
-        if route is None or not route.calls:
+        below = calls(at.now_ms, submit.route)
+        if not below:
             return None
         return levels.refuses(
-            at.now_ms, route.calls, submit.rank, submit.root_hash, random.random()
+            at.now_ms, below, submit.rank, submit.root_hash, random.random()
         )
 
     return shed_below_ms
 
 
 def level_folder(
-    policy: Callable[[], Policy | None], levels: LevelTable
+    calls: CallsOf, levels: LevelTable
 ) -> Callable[[Instant, str, ShedLevel], ShedLevel]:
     """Return the fold of a target's level with those of the routes that it calls.
 
@@ -36,10 +51,7 @@
     """
 
     def fold(at: Instant, route_name: str, own: ShedLevel) -> ShedLevel:
-        current = policy()
-        route = current.bundle.routes.get(route_name) if current else None
-        if route is None or not route.calls:
-            return own
-        return min(own, levels.strictest(at.now_ms, route.calls))
+        below = calls(at.now_ms, route_name)
+        return min(own, levels.strictest(at.now_ms, below)) if below else own
 
     return fold
--- a/src/jacinthshed/internal/node/parts.py
+++ b/src/jacinthshed/internal/node/parts.py
@@ -274,6 +274,7 @@
         refuses_callers=around.refuses_callers,
         confirmed=membership.confirmed,
         nested=state.nested,
+        learned=state.learned,
         observe=partial(make_observer, calls),
         log=around.log,
     )
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -21,6 +21,7 @@
 from ..flow.arrival_check import ArrivalCheck
 from ..flow.backend_outcome import JudgeAnswer
 from ..flow.context import ContextRegistry
+from ..flow.learned_calls import LearnedCalls
 from ..flow.nested_time import NestedTime
 from ..flow.policy import Policy
 from ..flow.target import Target
@@ -34,7 +35,7 @@
 from ..retry.resend_bucket import ResendBucket
 from ..routing.picker import Picker
 from ..wire.frames import MemberRecord
-from .levels_below import level_folder, shed_below
+from .levels_below import calls_of, level_folder, shed_below
 
 MEMO_MAX_ENTRIES = 100_000
 MEMO_MAX_BYTES = 32 * 1024 * 1024
@@ -54,6 +55,7 @@
     refused: RefusedLately
     contexts: ContextRegistry
     nested: NestedTime
+    learned: LearnedCalls
     levels: LevelTable
     view: View
     directory: Directory
@@ -87,12 +89,19 @@
     membership = MembershipPolicy()
     view = View(self_record=record)
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
-    parts = _build_target_state(record, now_ms, policy, levels, random)
+    learned = LearnedCalls()
+    calls = calls_of(policy, learned)
+    check = ArrivalCheck(
+        policy=policy,
+        suspects=Suspects(policy=QuarantinePolicy()),
+        shed_below_ms=shed_below(calls, levels, random),
+    )
+    parts = _build_target_state(record, now_ms, check)
     target = Target(
         host=record.host,
         incarnation=record.incarnation,
         state=parts,
-        fold_level=level_folder(policy, levels),
+        fold_level=level_folder(calls, levels),
         list_age_ms=lambda at: view.changed_ago_ms(record.service, at.now_ms),
         judge=judge,
         log=log,
@@ -104,6 +113,7 @@
         store=store,
         resends=ResendBucket(policy=RetryPolicy()),
         refused=RefusedLately(),
+        learned=learned,
         levels=levels,
         view=view,
         directory=Directory(),
@@ -116,22 +126,12 @@
 
 
 def _build_target_state(
-    record: MemberRecord,
-    now_ms: float,
-    policy: Callable[[], Policy | None],
-    levels: LevelTable,
-    random: Random,
+    record: MemberRecord, now_ms: float, check: ArrivalCheck
 ) -> TargetState:
-    suspects = Suspects(policy=QuarantinePolicy())
-    check = ArrivalCheck(
-        policy=policy,
-        suspects=suspects,
-        shed_below_ms=shed_below(policy, levels, random),
-    )
     return TargetState(
         admission=Admission(slots=1, queue=1, policy=AdmissionPolicy()),
         memo=_build_memo(record, now_ms),
-        suspects=suspects,
+        suspects=check.suspects,
         ledger=AllowanceLedger(),
         contexts=ContextRegistry(),
         nested=NestedTime(),
--- a/src/jacinthshed/internal/platform/edge.py
+++ b/src/jacinthshed/internal/platform/edge.py
@@ -49,6 +49,7 @@
     """Return the edge of the node beside a target of ``service``."""
     return Edge(
         request_id=_request_id,
+        parent_id=_parent_id,
         read_call=_call_reader(service),
         refuse_early=lambda headers, refusal: refusal,
         refused=_refused,
@@ -67,6 +68,16 @@
     return given.decode("latin-1")
 
 
+def _parent_id(headers: Headers) -> str:
+    """Return what goes before the last dot of the id.
+
+    Targets have been seen to name their calls so. It is no promise: it counts only
+    where a request of that id is running at the target beside the node.
+    """
+    given = header(headers, ATTEMPT_ID) or b""
+    return given.rpartition(b".")[0].decode("latin-1")
+
+
 def _call_reader(
     service: str,
 ) -> Callable[[Request, Arrival, Policy], Result[Intake, Refusal]]:
@@ -103,11 +114,14 @@
     limit_ms: int,
     headers: Headers,
 ) -> Call:
+    parent = arrival.parent
+    root_id = parent.root_id if parent else arrival.request_id
     return Call(
         request_id=arrival.request_id,
-        root_id=arrival.request_id,
-        root_hash=hash_of_root(arrival.request_id),
-        rank=match.route.rank,
+        root_id=root_id,
+        root_hash=parent.root_hash if parent else hash_of_root(root_id),
+        # A call keeps its root's rank, so that every layer sheds the same roots.
+        rank=parent.rank if parent else match.route.rank,
         route=match.route_name,
         service=match.service,
         services_below=frozenset({match.service}),
@@ -118,12 +132,12 @@
         body=request.body,
         deadline_at_ms=arrival.now_ms + limit_ms,
         deadline_wall_ms=arrival.wall_ms + limit_ms,
-        invested=0,
+        invested=parent.invested + arrival.calls_done + 1 if parent else 0,
         key="",
         ledger_id=arrival.request_id,
         allowance=match.route.attempts - 1,
         is_resend=False,
-        parent_id="",
+        parent_id=parent.request_id if parent else "",
         caller=arrival.caller,
     )
 
--- a/src/jacinthshed/internal/standin/pinned_target.py
+++ b/src/jacinthshed/internal/standin/pinned_target.py
@@ -1,6 +1,7 @@
 """A stand-in for a target of the users' platform."""
 
 from collections import Counter
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -15,7 +16,8 @@
     """Runs requests that name it, and notes every one that it ran.
 
     ``work_ms`` is how long a request runs. ``status`` is what it answers with, and
-    ``sealed`` whether with its receipt.
+    ``sealed`` whether with its receipt. ``before_answer`` makes calls of its own, and
+    gives the status to answer with.
     """
 
     def __init__(self, *, target_id: str, work_ms: float = 10.0) -> None:
@@ -24,6 +26,7 @@
         self.status = 200
         self.sealed = True
         self.is_full = False
+        self.before_answer: Callable[[Request], Awaitable[int]] | None = None
         self.runs: Counter[str] = Counter()
         self.requests: list[Request] = []
         self.ended = 0
@@ -61,8 +64,11 @@
         self.runs[attempt.decode()] += 1
         self.requests.append(request)
         await trio.sleep(self.work_ms / 1_000)
+        status = self.status
+        if self.before_answer is not None:
+            status = await self.before_answer(request)
         self.ended += 1
         answered: Headers = ((b"attempt-id", attempt),)
         if self.sealed:
             answered += ((b"response-seal", b"seal-" + attempt),)
-        return Response(self.status, answered, b"ran by " + own_id)
+        return Response(status, answered, b"ran by " + own_id)
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -297,3 +297,65 @@
         assert not fleet.targets["10.0.0.2"].runs
 
     played(play)
+
+
+def nested_state():
+    """Return a desired state in which lookups of ``a`` call ``b``."""
+    routes = [
+        route("root", "/root/", "a", priority=2),
+        route("order", "/order/", "a", priority=0, kind="non_idempotent"),
+        route("below", "/below/", "b", priority=1),
+    ]
+    return desired_state(routes=routes)
+
+
+async def call_below(fleet, request_, ip="10.0.0.1"):
+    """Answer a request at service ``a`` after one call of ``b``."""
+    attempt = header(request_.headers, b"attempt-id").decode()
+    sent = request("/below/1", f"{attempt}.c")
+    answer = await fleet.send(ip, sent)
+    return 200 if answer.status == 200 else 500
+
+
+def test_a_call_of_a_running_request_has_the_rank_of_its_root():
+    async def play(fleet):
+        fleet.targets["10.0.0.1"].before_answer = lambda got: call_below(fleet, got)
+        for path, attempt in (("/root/1", "r"), ("/order/1", "o")):
+            method = b"POST" if attempt == "o" else b"GET"
+            answer = await fleet.send("10.0.0.1", request(path, attempt, method))
+            assert answer.status == 200
+        lines = [
+            line
+            for line in fleet.logs["10.0.0.2"]
+            if line["event"] == "admission" and line["outcome"] == "started"
+        ]
+        assert [line["rank"] for line in lines] == [3, 1]
+        # What only looks like a call is none: no request of that id is running.
+        await fleet.send("10.0.0.1", request("/below/1", "gone.c"))
+        assert fleet.logs["10.0.0.2"][-2]["rank"] == 2
+
+    played(play, state=nested_state())
+
+
+def test_roots_are_refused_at_the_entry_when_a_service_below_is_full():
+    async def play(fleet):
+        first, last = fleet.targets["10.0.0.1"], fleet.targets["10.0.0.2"]
+        first.before_answer = lambda got: call_below(fleet, got)
+        last.work_ms = 200
+        statuses = []
+
+        async def send(number):
+            sent = request("/root/1", f"r{number}")
+            statuses.append((await fleet.send("10.0.0.1", sent)).status)
+
+        # Four slots of a fifth of a second below: 20 a second are served of 100.
+        async with trio.open_nursery() as nursery:
+            for number in range(500):
+                nursery.start_soon(send, number)
+                await trio.sleep(0.01)
+        served = statuses.count(200)
+        assert served >= 60
+        # Few begin in vain, as most are refused before they run anywhere.
+        assert len(first.requests) - served <= served
+
+    played(play, state=nested_state())
