--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -49,15 +49,19 @@
         max_body_bytes: int,
         informational: Informational | None = None,
         accepts: AcceptAnswer | None = None,
+        scope: trio.CancelScope | None = None,
     ) -> Outcome:
         """Send ``request`` at most once and return how that ended.
 
         ``accepts`` tells the answer from one to an earlier request.
-        ``timeout_ms`` covers the wait for a connection as well. When this is
-        cancelled, the connection is closed, which cancels the request at the server.
+        ``timeout_ms`` covers the wait for a connection as well. When this or ``scope``
+        is cancelled, the connection is closed, which cancels the request at the
+        server; a cancelled ``scope`` counts as a timeout.
         """
         attempt = _Attempt()
-        with trio.move_on_after(timeout_ms / _MS_PER_S):
+        scope = scope or trio.CancelScope()
+        scope.deadline = trio.current_time() + timeout_ms / _MS_PER_S
+        with scope:
             return await self._attempt(
                 attempt, request, max_body_bytes, informational, accepts
             )
--- a/src/jacinthshed/internal/http/request_reader.py
+++ b/src/jacinthshed/internal/http/request_reader.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from ..timing.coarse_timer import CoarseTimer
 from .drain import Drain
 from .errors import BadRequestError
 from .head import HEAD_END, check_start, parse_head
@@ -33,7 +34,7 @@
 class RequestReader:
     """Bytes that were received on a connection and are not yet part of a request.
 
-    ``scope`` is the connection's: its deadline bounds each wait for the client.
+    ``timer`` cancels the connection's ``scope``: it bounds each wait for the client.
     """
 
     def __init__(
@@ -41,11 +42,13 @@
         *,
         stream: trio.abc.Stream,
         scope: trio.CancelScope,
+        timer: CoarseTimer,
         limits: HttpLimits,
         drain: Drain,
     ) -> None:
         self.is_partial = False
         self._scope = scope
+        self._timer = timer
         self._stream = stream
         self._limits = limits
         self._drain = drain
@@ -62,10 +65,13 @@
         if not await self._wait_for_start():
             return None
         incoming = await self._read_whole()
-        # A deadline that has passed by now would cancel the handler half-way.
+        # A limit that has passed by now would cancel the handler half-way.
         if self._scope.cancel_called:
             await trio.lowlevel.checkpoint()
-        self._scope.deadline = math.inf
+        self._timer.clear()
+        # The end of a drain's linger, where one has begun.
+        if self._scope.deadline != math.inf:
+            self._scope.deadline = math.inf
         self.is_partial = False
         return incoming
 
@@ -96,7 +102,7 @@
         if self._received:
             return True
         idle_s = self._limits.idle_ms / _MS_PER_S
-        self._scope.deadline = trio.current_time() + idle_s
+        self._timer.set(trio.current_time() + idle_s)
         self._drain.enter_idle(self._scope)
         try:
             return await self._receive()
@@ -206,7 +212,7 @@
         if not self.is_partial:
             # Set here only, as most requests arrive with their first bytes.
             read_s = self._limits.read_ms / _MS_PER_S
-            self._scope.deadline = trio.current_time() + read_s
+            self._timer.set(trio.current_time() + read_s)
             self.is_partial = True
         if not await self._receive():
             raise BadRequestError(400, "the connection closed inside a request")
--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -6,6 +6,7 @@
 import trio
 
 from ..telemetry.log import get_logger
+from ..timing.timekeeper import current_timekeeper
 from ..verdict import Reason, Refusal, Verdict
 from .disconnect import DisconnectWatch
 from .drain import Drain
@@ -54,7 +55,7 @@
 
 
 class _Connection:
-    """One connection and its timeouts, all of which use one cancel scope."""
+    """One connection and its timeouts, all of which use one timer."""
 
     def __init__(
         self,
@@ -71,15 +72,24 @@
         self._drain = drain
         self._cancel_on_disconnect = cancel_on_disconnect
         self._scope = trio.CancelScope()
+        self._timer = current_timekeeper().add(self._scope.cancel)
         self._reader = RequestReader(
-            stream=stream, scope=self._scope, limits=limits, drain=drain
+            stream=stream,
+            scope=self._scope,
+            timer=self._timer,
+            limits=limits,
+            drain=drain,
         )
         self.watch = DisconnectWatch(reader=self._reader, connection=self._scope)
 
     async def serve(self) -> None:
         """Answer requests until the connection is over."""
-        with self._drain.connection():
-            await self._serve()
+        try:
+            with self._drain.connection():
+                await self._serve()
+        finally:
+            self.watch.end()
+            current_timekeeper().remove(self._timer)
 
     async def _serve(self) -> None:
         try:
@@ -98,7 +108,7 @@
                     return
         except BadRequestError as error:
             self._reader.is_partial = False
-            self._scope.deadline = trio.current_time() + _LINGER_S
+            self._timer.set(trio.current_time() + _LINGER_S)
             await self._refuse_and_linger(error)
 
     async def _serve_one(self, incoming: IncomingRequest) -> bool:
@@ -119,7 +129,7 @@
             log.exception("response can't be written", target=incoming.request.target)
             return False
         write_s = self._limits.write_ms / _MS_PER_S
-        self._scope.deadline = trio.current_time() + write_s
+        self._timer.set(trio.current_time() + write_s)
         await self._stream.send_all(data)
         return incoming.connection.our_state is not h11.MUST_CLOSE and not last
 
--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -51,6 +51,7 @@
         self._fence_left_ms = fence_left_ms
         self._is_backend_up = is_backend_up
         self._scopes: dict[int, trio.CancelScope] = {}
+        self._aborted: set[int] = set()
         self._nursery: trio.Nursery | None = None
         self._expiry_changed = trio.Event()
         self._awaited_ms = inf
@@ -96,22 +97,23 @@
     def _abort(self, action: Abort) -> None:
         scope = self._scopes.get(action.ticket)
         if scope is not None:
+            self._aborted.add(action.ticket)
             scope.cancel()
 
     async def _run(self, dispatch: Dispatch) -> None:
-        with trio.CancelScope() as scope:
-            self._scopes[dispatch.ticket] = scope
-            outcome: Outcome = await self._exchange(dispatch)
-        del self._scopes[dispatch.ticket]
-        if scope.cancelled_caught:
-            result: BackendResult = BackendFailure(True, FailureCause.ABORTED, "")
-        else:
-            result = _result_of(outcome)
+        ticket = dispatch.ticket
+        scope = self._scopes[ticket] = trio.CancelScope()
+        result = _result_of(await self._exchange(dispatch, scope))
+        del self._scopes[ticket]
+        if ticket in self._aborted:
+            self._aborted.discard(ticket)
+            if isinstance(result, BackendFailure):
+                result = BackendFailure(True, FailureCause.ABORTED, "")
         if _is_broken(result):
             result = await self._tell_crash(result)
         self._done(dispatch.ticket, result)
 
-    async def _exchange(self, dispatch: Dispatch) -> Outcome:
+    async def _exchange(self, dispatch: Dispatch, scope: trio.CancelScope) -> Outcome:
         timeout_ms = dispatch.timeout_ms
         if dispatch.submit.fence:
             timeout_ms = max(timeout_ms, self._fence_left_ms(dispatch.submit.fence))
@@ -120,6 +122,7 @@
             accepts=self._edge.accepts(dispatch.submit),
             timeout_ms=timeout_ms,
             max_body_bytes=self._sizes().answer_bytes,
+            scope=scope,
         )
 
     def _done(self, ticket: int, result: BackendResult) -> None:
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -1,6 +1,7 @@
 """Carries out the steps of a call's flow."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 
@@ -22,7 +23,8 @@
     TimedOut,
 )
 from ..flow.unfenced import CallFlow
-from ..wire.frames import Cancel, Frame, Reply, Revoke, Revoked
+from ..timing.timekeeper import current_timekeeper
+from ..wire.frames import Cancel, Reply, Revoke, Revoked, Submit
 from .caller_port import CallerPort
 from .clock import MS_PER_S
 from .link import Channel, LinkEvent, give_up_exchange
@@ -56,20 +58,16 @@
             step = next(flow) if event is None else flow.send(event)
         except StopIteration as stop:
             return stop.value
+        if isinstance(step, Exchange):
+            event = await _exchange(step, links, port, observer, deadline_s)
+            continue
         with trio.CancelScope(deadline=deadline_s) as scope:
-            event = await _perform(step, links, port, observer)
+            event = await _perform(step, links, port)
         if scope.cancelled_caught:
             event = TimedOut()
 
 
-async def _perform(
-    step: Step,
-    links: LinkTable,
-    port: CallerPort,
-    observer: ExchangeObserver,
-) -> Event:
-    if isinstance(step, Exchange):
-        return await _exchange(step, links, port, observer)
+async def _perform(step: Step, links: LinkTable, port: CallerPort) -> Event:
     if isinstance(step, Ready):
         return await _ready(step, links)
     if isinstance(step, Announce):
@@ -78,6 +76,7 @@
     if isinstance(step, Pause):
         await trio.sleep(step.wait_ms / MS_PER_S)
         return Done()
+    assert isinstance(step, AskAll)
     return await _ask_all(step, links)
 
 
@@ -89,24 +88,40 @@
 
 
 async def _exchange(
-    step: Exchange, links: LinkTable, port: CallerPort, observer: ExchangeObserver
+    step: Exchange,
+    links: LinkTable,
+    port: CallerPort,
+    observer: ExchangeObserver,
+    deadline_s: float,
 ) -> Event:
-    channel = await links.open(step.host)
+    channel = links.to(step.host)
     if channel is None:
-        return Broken(sent=False)
-    frame: LinkEvent = None
+        with trio.CancelScope(deadline=deadline_s) as scope:
+            channel = await links.open(step.host)
+        if scope.cancelled_caught:
+            return TimedOut()
+        if channel is None:
+            return Broken(sent=False)
+    frame: LinkEvent | TimedOut = None
     observer.sent(step.host)
     try:
-        frame = await _ask(channel, step.submit.request_id, step.submit, port.alive)
+        frame = await _ask_within(deadline_s, channel, step.submit, port.alive)
     except trio.Cancelled:
-        if not step.submit.fence:
-            channel.send(Cancel(step.submit.request_id, "", ""))
+        _take_back(channel, step.submit)
         raise
     finally:
         observer.ended(step.host, frame if isinstance(frame, Reply) else None)
+    if isinstance(frame, TimedOut):
+        _take_back(channel, step.submit)
+        return frame
     return Replied(frame) if isinstance(frame, Reply) else Broken(sent=True)
 
 
+def _take_back(channel: Channel, submit: Submit) -> None:
+    if not submit.fence:
+        channel.send(Cancel(submit.request_id, "", ""))
+
+
 async def _ask_all(step: AskAll, links: LinkTable) -> Event:
     answers: dict[str, Revoked | None] = {host: None for host, _ in step.asks}
 
@@ -114,7 +129,7 @@
         with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
             channel = await links.open(host)
             if channel is not None:
-                frame = await _ask(channel, revoke.request_id, revoke)
+                frame = await _ask(channel, revoke)
                 answers[host] = frame if isinstance(frame, Revoked) else None
 
     async with trio.open_nursery() as nursery:
@@ -123,20 +138,42 @@
     return AllAsked(tuple(answers.items()))
 
 
-async def _ask(
+async def _ask_within(
+    deadline_s: float,
     channel: Channel,
-    request_id: str,
-    frame: Frame,
-    alive: Callable[[], Awaitable[None]] | None = None,
+    submit: Submit,
+    alive: Callable[[], Awaitable[None]] | None,
+) -> LinkEvent | TimedOut:
+    """Return what answers ``submit``, or ``TimedOut`` at the deadline."""
+    exchange: OneShot[LinkEvent] = OneShot()
+    channel.exchanges[submit.request_id] = exchange
+    keeper = current_timekeeper()
+    timer = keeper.add(partial(exchange.set, None))
+    timer.set(deadline_s)
+    try:
+        channel.send(submit)
+        frame = await _wait(exchange, alive)
+        return TimedOut() if frame is None and timer.has_fired else frame
+    finally:
+        keeper.remove(timer)
+        give_up_exchange(channel, submit.request_id)
+
+
+async def _wait(
+    exchange: OneShot[LinkEvent], alive: Callable[[], Awaitable[None]] | None
 ) -> LinkEvent:
+    while alive is not None:
+        with trio.move_on_after(ALIVE_INTERVAL_MS / MS_PER_S):
+            return await exchange.wait()
+        await alive()
+    return await exchange.wait()
+
+
+async def _ask(channel: Channel, revoke: Revoke) -> LinkEvent:
     exchange: OneShot[LinkEvent] = OneShot()
-    channel.exchanges[request_id] = exchange
+    channel.exchanges[revoke.request_id] = exchange
     try:
-        channel.send(frame)
-        while alive is not None:
-            with trio.move_on_after(ALIVE_INTERVAL_MS / MS_PER_S):
-                return await exchange.wait()
-            await alive()
+        channel.send(revoke)
         return await exchange.wait()
     finally:
-        give_up_exchange(channel, request_id)
+        give_up_exchange(channel, revoke.request_id)
--- /dev/null
+++ b/src/jacinthshed/internal/timing/__init__.py
@@ -0,0 +1,1 @@
+"""Timers of many short waits."""
