A second request with the id of one in hand is refused

Cause: the exchanges of an entry are kept by request id, so that of two requests in hand with one id the first lost its answer (504 in the test, before) and the target joined both to one run. Found by reading; the test failed first.

Change: the second one is refused with 400 and a reason, and nothing of it is sent.

--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -43,6 +43,12 @@
 LEAVING_RETRY_AFTER_MS = 100
 NO_BUNDLE_RETRY_AFTER_MS = 1_000
 
+_DOUBLED = Refusal(
+    Verdict.NOT_RUN,
+    Reason.MALFORMED,
+    detail="a request with this id is in hand; give each attempt an id of its own",
+)
+
 
 class Ending(NamedTuple):
     """How a request ended: with a reply or a refusal, after ``elapsed_ms``."""
@@ -90,6 +96,7 @@
         self._learned = learned
         self._observe = observe
         self._log = log
+        self._in_hand: set[str] = set()
         self.in_flight = 0
 
     async def serve_entry(
@@ -143,9 +150,15 @@
         intake = self._edge.read_call(request, arrival, policy)
         if isinstance(intake, Failure):
             return self._refuse(request, request_id, intake.failure())
-        call = intake.unwrap().call
-        port = self._port(request, call, interim)
-        end = await self._run(intake.unwrap(), port)
+        if request_id in self._in_hand:
+            # Its answer could go to the other one.
+            return self._refuse(request, request_id, _DOUBLED)
+        self._in_hand.add(request_id)
+        try:
+            port = self._port(request, intake.unwrap().call, interim)
+            end = await self._run(intake.unwrap(), port)
+        finally:
+            self._in_hand.discard(request_id)
         return self._edge.answered(request_id, end)
 
     def _request_id(self, request: Request) -> str:
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -185,6 +185,30 @@
     played(play)
 
 
+def test_a_second_request_with_the_id_of_one_in_hand_is_refused():
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].work_ms = 200.0
+        answers = {}
+
+        async def send(name, path):
+            answers[name] = await fleet.send("10.0.0.1", request(path, "same"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "first", "/lookup/1")
+            await trio.sleep(0.1)
+            nursery.start_soon(send, "second", "/lookup/2")
+        assert answers["first"].status == 200
+        assert answers["second"].status == 400
+        assert b"id of its own" in answers["second"].body
+        assert len(fleet.targets["10.0.0.2"].requests) == 1
+        # The id may be used again once its request has ended.
+        assert (
+            await fleet.send("10.0.0.1", request("/lookup/3", "same"))
+        ).status == 200
+
+    played(play)
+
+
 def test_a_leaving_target_gets_nothing_from_any_node():
     async def play(fleet):
         entry = entry_of("i-10.0.0.2", "10.0.0.2", "b", state="draining")
