A machine whose time of day is 2 s ahead serves as before

Cause: an attempt is refused as late when its deadline has passed by the target's time of day, with 500 ms for the difference of clocks. On the users' platform clocks may step by 2 s (clock_step): such a machine refused everything with less than 1.5 s left.

Change: 3 s for the difference there. The check only has to find what a machine slept through; the time left that comes with an attempt holds without it.

--- a/src/jacinthshed/internal/platform/desired_state.py
+++ b/src/jacinthshed/internal/platform/desired_state.py
@@ -48,6 +48,9 @@
 # Above any target's slots: entries tell these, and the node beside a target is its only
 # caller, so that neither refusals nor latencies have to tell how much it can run.
 FIXED_LIMIT = 1_000_000
+# Clocks of machines may differ by some seconds. The check by the time of day only has
+# to find requests that a machine slept through.
+CLOCK_SKEW_MS = 3_000
 _MS_PER_S = 1_000
 
 
@@ -155,7 +158,7 @@
             burst=max(1, bounds.retry_slack // RETRY_NODES // RETRY_DEPTH),
         ),
         admission=AdmissionPolicy(min_limit=FIXED_LIMIT, sheds_calls=False),
-        fence=FencePolicy(required=False),
+        fence=FencePolicy(required=False, skew_ms=CLOCK_SKEW_MS),
         routing=RoutingPolicy(headroom=HEADROOM),
         drain=DrainPolicy(
             limit_ms=int(bounds.leave_ms * LEAVE_SHARE), callers_ms=CALLERS_MS
--- a/tests/common/machines.py
+++ b/tests/common/machines.py
@@ -95,6 +95,11 @@
         self.targets = {}
         self.nodes = {}
         self.logs = {}
+        self.wall_offset_ms = {}
+
+    def wall_ms(self, ip):
+        """Return the time of day at the machine ``ip``."""
+        return int(trio_now_ms()) + 1_700_000_000_000 + self.wall_offset_ms.get(ip, 0)
 
     async def start_store(self):
         await self.nursery.start(serve_store, self.store, self.network, STORE)
@@ -127,7 +132,7 @@
             network=self.network,
             random=random.Random(ip),
             log=lambda event, **fields: lines.append({"event": event, **fields}),
-            clock=Clock(trio_now_ms, lambda: int(trio_now_ms()) + 1_700_000_000_000),
+            clock=Clock(trio_now_ms, lambda: self.wall_ms(ip)),
         )
         await self.nursery.start(node.run)
 
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -185,6 +185,18 @@
     played(play)
 
 
+@pytest.mark.parametrize("step_ms", [-2_000, 2_000])
+def test_a_machine_whose_clock_is_set_wrong_serves_as_before(step_ms):
+    async def play(fleet):
+        fleet.wall_offset_ms["10.0.0.2"] = step_ms
+        await trio.sleep(0.5)
+        for number in range(10):
+            sent = request("/lookup/1", f"to-{number}")
+            assert (await fleet.send("10.0.0.1", sent)).status == 200
+
+    played(play)
+
+
 def test_a_second_request_with_the_id_of_one_in_hand_is_refused():
     async def play(fleet):
         fleet.targets["10.0.0.2"].work_ms = 200.0
