Shed levels loosen in small steps while the demand is near what can be served

Cause: a level that was closed opened by up to twofold in each window of 50 ms once less than 40 ms of work waited. Roots reach the last service 300 ms later, so that all were let in before the first was seen, and the next windows closed the level again.

Change: where the demand is over half of what can be served, a window opens the level by 15% or a sixteenth of a rank; below, as before. Timers are looked at every 50 ms at the soonest, as each look is a wake-up.

--- a/src/jacinthshed/internal/admission/level_control.py
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -14,8 +14,13 @@
 EXTRA_WINDOW_MS = 150.0
 MIN_FINISHED = 2
 MAX_ARRIVALS = 1_024
+# Steps of re-admission in a window, where demand is below half of what can be served...
 GROWTH_FACTOR = 2.0
 GROWTH_SPAN = ROOT_HASH_SPAN // 4
+# ... and where it is near that. Roots call a deep service some windows after they were
+# let in: larger steps would let in too many before the first of them is seen.
+BUSY_GROWTH_FACTOR = 1.15
+BUSY_GROWTH_SPAN = ROOT_HASH_SPAN // 16
 MIN_GROWTH_SPAN = ROOT_HASH_SPAN // 100
 RANK_TTL_MS = 30_000.0
 
@@ -93,7 +98,7 @@
             self._arrivals.sort()
             self._tighten(ShedLevel(*self._arrivals[wanted]), queue)
         elif not self._shed:
-            self.level = self._looser(now_ms, wanted - len(self._arrivals))
+            self.level = self._looser(now_ms, wanted)
         if queue.middle is not None:
             # Such work goes in front of half the queue: it is not shed.
             middle = ShedLevel(queue.middle.rank, queue.middle.root_hash)
@@ -106,15 +111,19 @@
             last = ShedLevel(queue.last.rank, queue.last.root_hash)
             self.level = min(self.level, max(level, last))
 
-    def _looser(self, now_ms: float, missing: int) -> ShedLevel:
-        """Return the next step of re-admission, for ``missing`` more arrivals.
+    def _looser(self, now_ms: float, wanted: int) -> ShedLevel:
+        """Return the next step of re-admission, where ``wanted`` arrivals would fit.
 
         A rank opens over several windows, so that the demand that was held back does
         not come at once. Ranks that nobody asks for are passed over.
         """
         rank, root_hash = self.level
+        missing = wanted - len(self._arrivals)
+        is_busy = missing < len(self._arrivals)
+        factor = BUSY_GROWTH_FACTOR if is_busy else GROWTH_FACTOR
+        span = BUSY_GROWTH_SPAN if is_busy else GROWTH_SPAN
         of_rank = sum(arrival[0] == rank for arrival in self._arrivals)
-        greatest = max(root_hash * GROWTH_FACTOR, root_hash + GROWTH_SPAN)
+        greatest = max(root_hash * factor, root_hash + span)
         opened = root_hash * (1 + missing / of_rank) if of_rank else greatest
         opened = min(greatest, max(opened, root_hash + MIN_GROWTH_SPAN))
         if opened < ROOT_HASH_SPAN:
@@ -122,4 +131,4 @@
         oldest_ms = now_ms - RANK_TTL_MS
         seen = [r for r, at_ms in self._rank_seen_ms.items() if at_ms > oldest_ms]
         higher = [r for r in seen if r > rank]
-        return ShedLevel(min(higher), GROWTH_SPAN) if higher else NOTHING_SHED
+        return ShedLevel(min(higher), span) if higher else NOTHING_SHED
--- a/src/jacinthshed/internal/timing/timekeeper.py
+++ b/src/jacinthshed/internal/timing/timekeeper.py
@@ -9,7 +9,7 @@
 
 # Timers are looked at no more often than this: far below any limit that they stand
 # for, and rare enough that a look at a few hundred of them costs next to nothing.
-TICK_S = 0.02
+TICK_S = 0.05
 
 
 class Timekeeper:
