A node that leaves ends in time though a peer reads nothing

Cause: the time to leave is 5.1 of the 6 s that the platform gives, and up to 1 s for links whose peer reads nothing came on top.

Ruled out: requests in hand (they end at the limit).

Change: 0.3 s for the links.

--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -31,7 +31,8 @@
 BOOTSTRAP_TIMEOUT_S = 6.0
 LEAVE_GRACE_S = 0.5
 DRAIN_POLL_S = 0.02
-FLUSH_TIMEOUT_S = 1.0
+# It comes on top of the time to leave, after which the process is killed soon.
+FLUSH_TIMEOUT_S = 0.3
 
 
 class NodeAddresses(NamedTuple):
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -6,6 +6,7 @@
 import trio
 
 from jacinthshed.internal.http.message import header
+from jacinthshed.internal.node.link import Link
 from tests.common.fleet import run_virtual
 from tests.common.http import receive_all
 from tests.common.machines import desired_state, entry_of, machines, request, route
@@ -306,6 +307,28 @@
     played(play)
 
 
+def test_a_leaving_node_ends_in_time_though_a_peer_reads_nothing(monkeypatch):
+    async def never(link):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(Link, "flushed", never)
+
+    async def play(fleet):
+        fleet.targets["10.0.0.2"].work_ms = 1_900
+        await fleet.send("10.0.0.1", request("/lookup/1", "first", deadline_ms="4000"))
+        began = trio.current_time()
+        fleet.nodes["10.0.0.1"].leave()
+        await trio.sleep(2.98)
+        last = request("/lookup/1", "last", deadline_ms="4000")
+        assert (await fleet.send("10.0.0.1", last)).status == 200
+        while not any(line["event"] == "left" for line in fleet.logs["10.0.0.1"]):
+            await trio.sleep(0.01)
+        # The platform kills it after six seconds, in which the process has to end too.
+        assert trio.current_time() - began < 5.5
+
+    played(play)
+
+
 def test_a_node_that_starts_alone_serves_as_soon_as_it_has_read_the_store():
     async def main():
         async with machines({"10.0.0.2": "b"}) as fleet:
