--- a/src/jacinthshed/internal/admission/admission.py
+++ b/src/jacinthshed/internal/admission/admission.py
@@ -15,7 +15,9 @@
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 5_000
 HASH_SPREAD = 1_024
-MAX_QUEUE_WAIT_MS = 400.0
+MAX_QUEUE_WAIT_MS = 400
+# The wait that the shed level aims at. A request may wait in several queues in a row.
+GOAL_WAIT_MS = 40
 MIN_QUEUE = 4
 
 
@@ -226,7 +228,7 @@
         places = self._places()
         # A short queue keeps the slots busy, and is all the waiting that work near the
         # level does in slots of the services above.
-        goal = max(MIN_QUEUE // 2, places // 4)
+        goal = max(MIN_QUEUE // 2, places * GOAL_WAIT_MS // MAX_QUEUE_WAIT_MS)
         free = self._limit.value + goal - len(self._running) - len(self._queue)
         return QueueState(
             free=free,
--- a/src/jacinthshed/internal/admission/level_control.py
+++ b/src/jacinthshed/internal/admission/level_control.py
@@ -69,7 +69,7 @@
             self._window_ends_ms = now_ms + WINDOW_MS
         if not self._is_over(now_ms, has_room=queue.free > 0):
             return
-        if self._shed or self.level != NOTHING_SHED:
+        if self._shed or queue.free < 0 or self.level != NOTHING_SHED:
             self._move(now_ms, queue)
         self._arrivals.clear()
         self._finished = 0
--- a/src/jacinthshed/internal/bundle/model.py
+++ b/src/jacinthshed/internal/bundle/model.py
@@ -85,12 +85,14 @@
 
     ``latency_tolerance`` is how many times the unloaded latency a target may take
     before its limit goes down. ``level_ttl_ms`` is how long an entry node trusts the
-    shed level that a target told it.
+    shed level that a target told it. ``sheds_calls`` lets shed levels turn away calls
+    of requests that run already; without it they refuse roots only.
     """
 
     min_limit: int = 1
     latency_tolerance: float = 2.0
     level_ttl_ms: int = 1_000
+    sheds_calls: bool = True
 
 
 class RoutingPolicy(_Section, frozen=True, kw_only=True):
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -19,6 +19,7 @@
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply, Submit
 from .clock import Clock
+from .levels_below import may_shed
 from .observer import ExchangeObserver
 from .state import NodeState
 
@@ -186,6 +187,8 @@
     if not call.parent_id and not _is_within_resends(around, call):
         around.log("resend_refused", request_id=call.request_id, caller=call.caller)
         return Refusal(Verdict.NOT_RUN, Reason.RETRY_LIMIT, RESEND_WAIT_MS)
+    if not may_shed(around.policy(), is_call=bool(call.parent_id)):
+        return None
     wait_ms = state.levels.refuses(
         now_ms, (call.route,), call.rank, call.root_hash, state.random.random()
     )
--- a/src/jacinthshed/internal/node/levels_below.py
+++ b/src/jacinthshed/internal/node/levels_below.py
@@ -8,7 +8,7 @@
 from ..fence.instant import Instant
 from ..flow.learned_calls import LearnedCalls
 from ..flow.policy import Policy
-from ..wire.frames import Submit
+from ..wire.frames import Submit, is_root
 
 CallsOf = Callable[[float, str], tuple[str, ...]]
 """Returns the routes below a route at a moment in milliseconds."""
@@ -26,12 +26,22 @@
     return calls
 
 
+def may_shed(policy: Policy | None, *, is_call: bool) -> bool:
+    """Return whether shed levels may refuse a root, or a call of a running request."""
+    return not is_call or policy is None or policy.bundle.admission.sheds_calls
+
+
 def shed_below(
-    calls: CallsOf, levels: LevelTable, random: Random
+    policy: Callable[[], Policy | None],
+    calls: CallsOf,
+    levels: LevelTable,
+    random: Random,
 ) -> Callable[[Instant, Submit], int | None]:
     """Return the check of a request against the levels of the routes it will call."""
 
     def shed_below_ms(at: Instant, submit: Submit) -> int | None:
+        if not may_shed(policy(), is_call=not is_root(submit)):
+            return None
         below = calls(at.now_ms, submit.route)
         if not below:
             return None
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -92,7 +92,7 @@
     levels = LevelTable(ttl_ms=AdmissionPolicy().level_ttl_ms)
     learned = LearnedCalls()
     calls = calls_of(policy, learned)
-    check_below = shed_below(calls, levels, random)
+    check_below = shed_below(policy, calls, levels, random)
     parts = _build_target_state(record, now_ms, policy, check_below)
     fold_level = level_folder(calls, levels)
     target = _build_target(record, view, parts, fold_level, judge, log)
--- a/src/jacinthshed/internal/platform/desired_state.py
+++ b/src/jacinthshed/internal/platform/desired_state.py
@@ -9,6 +9,7 @@
 from ..bundle.document import BundleError
 from ..bundle.host_routes import HostRoute, HostRoutes
 from ..bundle.model import (
+    AdmissionPolicy,
     Bundle,
     DrainPolicy,
     FencePolicy,
@@ -29,6 +30,9 @@
 # Of the time that a process may go on after it is told to end, this share is used, so
 # that its last answers are out before it is killed.
 LEAVE_SHARE = 0.85
+# Requests that may wait at a target: more than the longest wait of a queue allows. A
+# call that waits can still end well, and one that is turned away fails its root.
+QUEUE = 1_000
 # Callers are sent elsewhere after two questions of one second without a good answer.
 CALLERS_MS = 3_000
 # A repeated request repeats the calls below it, which count where they arrive; the
@@ -41,6 +45,9 @@
 # goes to other zones well before that.
 HEADROOM = 0.35
 
+# Above any target's slots: entries tell these, and the node beside a target is its only
+# caller, so that neither refusals nor latencies have to tell how much it can run.
+FIXED_LIMIT = 1_000_000
 _MS_PER_S = 1_000
 
 
@@ -138,7 +145,7 @@
         services={
             # How many requests a target runs at once stands in its own entry.
             service.name: Service(
-                slots=service.max_conns, connections=service.max_conns
+                slots=service.max_conns, connections=service.max_conns, queue=QUEUE
             )
             for service in document.services
         },
@@ -147,6 +154,7 @@
             ratio=bounds.retry_ratio / RETRY_DEPTH,
             burst=max(1, bounds.retry_slack // RETRY_NODES // RETRY_DEPTH),
         ),
+        admission=AdmissionPolicy(min_limit=FIXED_LIMIT, sheds_calls=False),
         fence=FencePolicy(required=False),
         routing=RoutingPolicy(headroom=HEADROOM),
         drain=DrainPolicy(
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -44,6 +44,11 @@
     target_id: str = ""
 
 
+def is_root(submit: Submit) -> bool:
+    """Return whether ``submit`` is an attempt of a root, and no call below one."""
+    return submit.request_id.rpartition(".")[0] == submit.root_id
+
+
 class Reply(NamedTuple):
     """The end of one attempt.
 
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -361,6 +361,51 @@
     played(play, state=nested_state())
 
 
+def test_all_slots_are_used_though_the_target_turned_requests_away():
+    async def play(fleet):
+        target = fleet.targets["10.0.0.2"]
+        target.is_full = True
+        for number in range(60):
+            await fleet.send("10.0.0.1", request("/lookup/1", f"full-{number}"))
+        target.is_full = False
+        target.work_ms = 200.0
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                sent = request("/lookup/1", f"free-{number}")
+                nursery.start_soon(fleet.send, "10.0.0.1", sent)
+        running = [
+            line["running"]
+            for line in fleet.logs["10.0.0.2"]
+            if line["event"] == "admission" and line["request_id"].startswith("free")
+        ]
+        assert max(running) == 4
+
+    played(play)
+
+
+def test_calls_of_running_requests_wait_and_are_not_turned_away():
+    async def play(fleet):
+        first, last = fleet.targets["10.0.0.1"], fleet.targets["10.0.0.2"]
+        first.before_answer = lambda got: call_below(fleet, got)
+        last.work_ms = 50.0
+        roomy = entry_of("i-10.0.0.1", "10.0.0.1", "a", slots=40)
+        fleet.store.put("servers/i-10.0.0.1", roomy)
+        await fleet.settle()
+        statuses = []
+
+        async def send(number):
+            sent = request("/root/1", f"r{number}")
+            statuses.append((await fleet.send("10.0.0.1", sent)).status)
+
+        # Three rounds of four slots, far within the second that the roots have.
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(send, number)
+        assert statuses == [200] * 12
+
+    played(play, state=nested_state())
+
+
 def test_roots_are_refused_at_the_entry_when_a_service_below_is_full():
     async def play(fleet):
         first, last = fleet.targets["10.0.0.1"], fleet.targets["10.0.0.2"]
