--- a/src/jacinthshed/__init__.py
+++ b/src/jacinthshed/__init__.py
@@ -7,7 +7,7 @@
     from .internal.caller.caller import Caller
     from .internal.verdict import Reason, Refusal, Verdict
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
 __all__ = ["Answer", "Caller", "Reason", "Refusal", "Verdict", "__version__"]
 
 _HOMES = {
--- a/src/jacinthshed/internal/node/call_tools.py
+++ b/src/jacinthshed/internal/node/call_tools.py
@@ -92,6 +92,9 @@
             state.picker.unreachable(now_ms, host)
             return
         state.picker.note_reply(now_ms, host, reply.load)
+        if not call.parent_id and reply.status:
+            failed = around.edge.is_failed(reply)
+            state.throttle.note(call.route, failed=failed, calls_done=reply.calls_done)
         level = ShedLevel(reply.shed_rank, reply.shed_hash)
         state.levels.note(now_ms, call.route, host, level)
         if reply.reason in (Reason.SHED, Reason.LEAVING):
@@ -189,11 +192,12 @@
         return Refusal(Verdict.NOT_RUN, Reason.RETRY_LIMIT, RESEND_WAIT_MS)
     if not may_shed(around.policy(), is_call=bool(call.parent_id)):
         return None
+    fraction = state.random.random()
     wait_ms = state.levels.refuses(
-        now_ms, (call.route,), call.rank, call.root_hash, state.random.random()
+        now_ms, (call.route,), call.rank, call.root_hash, fraction
     )
     if wait_ms is None:
-        return None
+        return None if call.parent_id else _throttle(around, call, fraction)
     level = state.levels.strictest(now_ms, (call.route,))
     around.log(
         "shed_at_entry",
@@ -206,6 +210,22 @@
     return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms)
 
 
+def _throttle(around: CallSurroundings, call: Call, fraction: float) -> Refusal | None:
+    throttle = around.state.throttle
+    wait_ms = throttle.refuses(call.route, fraction)
+    if wait_ms is None:
+        return None
+    around.log(
+        "root_held_back",
+        request_id=call.request_id,
+        route=call.route,
+        share=round(throttle.share(call.route), 2),
+        retry_after_ms=wait_ms,
+    )
+    detail = "nearly all requests of this route fail below"
+    return Refusal(Verdict.NOT_RUN, Reason.SHED, wait_ms, detail)
+
+
 def _is_within_resends(around: CallSurroundings, call: Call) -> bool:
     """Return whether the caller may send this now; a fresh request always may."""
     state = around.state
--- a/src/jacinthshed/internal/node/state.py
+++ b/src/jacinthshed/internal/node/state.py
@@ -6,6 +6,7 @@
 
 from ..admission.admission import Admission
 from ..admission.levels import LevelTable
+from ..admission.root_throttle import RootThrottle
 from ..admission.shed_level import ShedLevel
 from ..bundle.model import (
     AdmissionPolicy,
@@ -59,6 +60,7 @@
     nested: NestedTime
     learned: LearnedCalls
     levels: LevelTable
+    throttle: RootThrottle
     view: View
     directory: Directory
     failures: FailureTracker
@@ -105,6 +107,7 @@
         refused=RefusedLately(),
         learned=learned,
         levels=levels,
+        throttle=RootThrottle(),
         view=view,
         directory=Directory(),
         failures=FailureTracker(policy=MembershipPolicy()),
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -406,6 +406,32 @@
     played(play, state=nested_state())
 
 
+def test_roots_that_all_fail_below_are_held_back_and_come_back():
+    async def play(fleet):
+        first, last = fleet.targets["10.0.0.1"], fleet.targets["10.0.0.2"]
+        first.before_answer = lambda got: call_below(fleet, got)
+        last.status = 500
+
+        async def send(name, count):
+            statuses = []
+            for number in range(count):
+                sent = request("/root/1", f"{name}{number}")
+                statuses.append((await fleet.send("10.0.0.1", sent)).status)
+            return statuses
+
+        await send("first", 40)
+        ran_before = len(first.requests)
+        statuses = await send("held", 100)
+        # Few of them run, and the others are told that they did not.
+        assert set(statuses) == {500, 503}
+        assert len(first.requests) - ran_before < 40
+        last.status = 200
+        await send("again", 40)
+        assert set(await send("served", 20)) == {200}
+
+    played(play, state=nested_state())
+
+
 def test_roots_are_refused_at_the_entry_when_a_service_below_is_full():
     async def play(fleet):
         first, last = fleet.targets["10.0.0.1"], fleet.targets["10.0.0.2"]
