--- a/src/jacinthshed/internal/admission/levels.py
+++ b/src/jacinthshed/internal/admission/levels.py
@@ -88,12 +88,6 @@
         """Trust what is heard for ``ttl_ms`` from now on."""
         self._ttl_ms = ttl_ms
 
-    def forget(self, host: str) -> None:
-        """Drop all levels of a host that has left."""
-        for hosts in self._names.values():
-            hosts.noted.pop(host, None)
-            hosts.judged_ms = float("-inf")
-
     def refuses(
         self,
         now_ms: float,
--- a/src/jacinthshed/internal/membership/service_index.py
+++ b/src/jacinthshed/internal/membership/service_index.py
@@ -2,8 +2,6 @@
 
 from ..wire.frames import MemberRecord
 
-Zones = dict[str, tuple[MemberRecord, ...]]
-
 
 class ServiceIndex:
     """Live records by service and availability zone.
@@ -16,7 +14,6 @@
         self._live: dict[str, dict[str, MemberRecord]] = {}
         self._avoided: set[str] = set()
         self._members: dict[str, tuple[MemberRecord, ...]] = {}
-        self._zones: dict[str, Zones] = {}
 
     def add(self, record: MemberRecord) -> None:
         """Make ``record`` a member of its service."""
@@ -37,7 +34,6 @@
             return False
         self._avoided = hosts
         self._members.clear()
-        self._zones.clear()
         return True
 
     def services(self) -> tuple[str, ...]:
@@ -55,13 +51,6 @@
             prepared = self._members[service] = self._routable(service)
         return prepared
 
-    def by_zone(self, service: str) -> Zones:
-        """Return the routable members of ``service`` by availability zone."""
-        prepared = self._zones.get(service)
-        if prepared is None:
-            prepared = self._zones[service] = _split(self.members(service))
-        return prepared
-
     def _routable(self, service: str) -> tuple[MemberRecord, ...]:
         hosts = self._live.get(service, {})
         live = tuple(hosts[host] for host in sorted(hosts))
@@ -72,11 +61,3 @@
 
     def _drop_prepared(self, service: str) -> None:
         self._members.pop(service, None)
-        self._zones.pop(service, None)
-
-
-def _split(members: tuple[MemberRecord, ...]) -> Zones:
-    zones: dict[str, list[MemberRecord]] = {}
-    for record in members:
-        zones.setdefault(record.availability_zone, []).append(record)
-    return {zone: tuple(records) for zone, records in zones.items()}
--- a/src/jacinthshed/internal/membership/view.py
+++ b/src/jacinthshed/internal/membership/view.py
@@ -8,7 +8,7 @@
 from .host_list import HostList, HostListNews, ListedHost
 from .own_record import OwnRecord
 from .record_order import GONE, LEAVING, LIVE, is_well_formed, order_key, record_hash
-from .service_index import ServiceIndex, Zones
+from .service_index import ServiceIndex
 
 GONE_LIFETIME_MS = 86_400_000.0
 MAX_GONE = 4_096
@@ -77,10 +77,6 @@
         """Return the members of ``service`` that take new work, ordered by host."""
         return self._index.members(service)
 
-    def by_zone(self, service: str) -> Zones:
-        """Return the members of ``service`` by availability zone."""
-        return self._index.by_zone(service)
-
     def services(self) -> tuple[str, ...]:
         """Return the names of services that have or had members."""
         return self._index.services()
