Read a policy document part by part

Change: routes, services and limits are decoded one by one. A kind that isn't known is not idempotent; an unreadable field has its default; a route whose service can't be read keeps its prefix and is refused as not run. What is left out is logged as bundle_part_omitted with its place. A document of which no route can be read replaces nothing.

--- a/benchmarks/bench_gossip.py
+++ b/benchmarks/bench_gossip.py
@@ -221,7 +221,7 @@
     assert isinstance(frame, Gossip)
     view.merge(0.0, frame.records)
     for service in view.services():
-        view.by_zone(service)
+        view.members(service)
     view.hosts()
     del frame
     held_bytes, _ = tracemalloc.get_traced_memory()
--- a/src/jacinthshed/internal/bundle/read_budget.py
+++ b/src/jacinthshed/internal/bundle/read_budget.py
@@ -1,5 +1,7 @@
 """Rate limit of a node's reads from the platform."""
 
+from math import inf
+
 
 class ReadBudget:
     """A token bucket with a capacity of one read.
@@ -24,9 +26,15 @@
         self._rate_per_ms = min(share, node_reads_per_s) / 1_000
 
     def wait_ms(self, now_ms: float) -> float:
-        """Return how long to wait until ``take`` succeeds; 0 when it does now."""
+        """Return how long to wait until ``take`` succeeds; 0 when it does now.
+
+        It is infinite when the rate is 0 and the first read was taken.
+        """
         self._refill(now_ms)
-        return max(0.0, (1.0 - self._tokens) / self._rate_per_ms)
+        missing = max(0.0, 1.0 - self._tokens)
+        if missing == 0.0:
+            return 0.0
+        return missing / self._rate_per_ms if self._rate_per_ms > 0.0 else inf
 
     def take(self, now_ms: float) -> bool:
         """Consume one read and return true, or return false if none is available."""
--- a/src/jacinthshed/internal/node/policy_holder.py
+++ b/src/jacinthshed/internal/node/policy_holder.py
@@ -62,6 +62,14 @@
     def _put_in_force(self) -> None:
         opened = self._store.current
         assert opened is not None
+        for problem in opened.omitted:
+            self._log(
+                "bundle_part_omitted",
+                version=opened.order.version,
+                path=problem.path,
+                expected=problem.expected,
+                found=problem.found,
+            )
         self._policy = Policy(opened.bundle, opened.order, opened.routes)
         for subscriber in self._subscribers:
             subscriber(self._policy)
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -69,7 +69,7 @@
 
 def _request_id(headers: Headers) -> str | None:
     given = header(headers, ATTEMPT_ID)
-    if given is None or len(given) > MAX_ID_BYTES:
+    if not given or len(given) > MAX_ID_BYTES:
         return None
     return given.decode("latin-1")
 
@@ -95,7 +95,7 @@
     ) -> Result[ParsedCall, Refusal]:
         if _request_id(request.headers) is None:
             detail = (
-                "the Attempt-Id header is missing or too long: "
+                "the Attempt-Id header is missing, empty or too long: "
                 f"send an id of 1 to {MAX_ID_BYTES} bytes"
             )
             return _not_run(Reason.MALFORMED, detail)
--- a/src/jacinthshed/internal/platform/policy_document.py
+++ b/src/jacinthshed/internal/platform/policy_document.py
@@ -1,7 +1,7 @@
 """Conversion of the operators' configuration document into policy."""
 
 import hashlib
-from typing import Literal
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -15,7 +15,6 @@
     FencePolicy,
     ReaderPolicy,
     RetryPolicy,
-    Route,
     RoutingPolicy,
     Service,
     SizeLimits,
@@ -23,7 +22,10 @@
 from ..bundle.opened_bundle import BundleOpener, OpenedBundle
 from ..bundle.order import BundleOrder
 from ..settings.problem import Problem
+from ..wire.codec import MAX_FRAME_BYTES
 from .bounds import Bounds
+from .lenient_decode import Fields, decode_items, read_number
+from .policy_routes import MAX_TIMEOUT_S, convert_routes, has_services
 
 POLICY_KEY = "op/config"
 
@@ -54,56 +56,36 @@
 # Clocks of hosts may differ by some seconds. The wall-clock check only has to detect
 # requests that expired while a host was suspended.
 CLOCK_SKEW_MS = 3_000
+MAX_CONNECTIONS = 1_000_000
+MAX_HEAD_BYTES = 1_048_576
+# A request goes to its target's node in one frame, so a larger body can't be forwarded.
+MAX_BODY_BYTES = MAX_FRAME_BYTES - 1_048_576
 _MS_PER_S = 1_000
 
 
-class _Backend(msgspec.Struct):
-    service: str
-    weight: float
-
-
-class _Route(msgspec.Struct):
-    """A route in the document; ``priority`` 0 is the most important."""
-
-    name: str
-    host: str
-    prefix: str
-    kind: Literal["idempotent", "non_idempotent"]
-    timeout_s: float
-    priority: int = 0
-    slo_latency_s: float = 0.0
-    max_attempts: int = 1
-    service: str = ""
-    weighted_backends: list[_Backend] = []
-
-
 class _Service(msgspec.Struct):
     """A service in the document; ``max_conns`` limits all callers together."""
 
     name: str
-    health_path: str = ""
-    max_conns: int = 64
-
-
-class _Limits(msgspec.Struct):
-    max_header_bytes: int = 0
-    max_body_bytes: int = 1_048_576
-    header_timeout_s: float = 0.0
-    idle_timeout_s: float = 0.0
+    max_conns: Annotated[int, msgspec.Meta(ge=1, le=MAX_CONNECTIONS)] = 64
 
 
 class _Document(msgspec.Struct):
+    """The outline of the document; the parts are decoded one by one."""
+
     version: int
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    routes: Any = None
+    services: Any = None
+    limits: Any = None
 
 
 def policy_document_opener(bounds: Bounds, readers: ReaderPolicy) -> BundleOpener:
     """Return the function that parses a configuration document into a bundle.
 
-    ``bounds`` and ``readers`` supply the policies that the document does not hold. The
-    function returns a ``BundleError`` for a document that can't be decoded.
+    ``bounds`` and ``readers`` supply the policies that the document does not hold.
+    Parts of a document that can't be decoded are left out and listed in its
+    ``omitted``. The function returns a ``BundleError`` for a document without a
+    readable version, and for one that has routes of which none can be read.
     """
 
     def open_bundle(data: bytes, source: str) -> Result[OpenedBundle, BundleError]:
@@ -112,45 +94,57 @@
         except (msgspec.DecodeError, ValueError, RecursionError) as error:
             problem = Problem("", "a configuration document", str(error))
             return Failure(BundleError(source, (problem,)))
+        problems: list[Problem] = []
+        routes = convert_routes(document.routes, problems)
+        if document.routes != [] and not has_services(routes):
+            return Failure(BundleError(source, tuple(problems)))
+        services = decode_items(document.services, _Service, "services", problems)
+        sizes = _read_sizes(document.limits, problems)
         order = BundleOrder(document.version, hashlib.sha256(data).digest())
-        routes = tuple(_host_route(route) for route in document.routes)
-        bundle = _bundle(document, routes, bounds, readers)
-        return Success(OpenedBundle(bundle, order, data, HostRoutes(routes=routes)))
+        bundle = _bundle(document.version, routes, services, sizes, bounds, readers)
+        found = HostRoutes(routes=routes)
+        return Success(OpenedBundle(bundle, order, data, found, tuple(problems)))
 
     return open_bundle
 
 
-def _host_route(route: _Route) -> HostRoute:
-    weights = {backend.service: backend.weight for backend in route.weighted_backends}
-    weights = weights or {route.service: 1.0}
-    timeout_ms = int(route.timeout_s * _MS_PER_S)
-    return HostRoute(
-        name=route.name,
-        host=route.host,
-        path_prefix=route.prefix,
-        weights=weights,
-        route=Route(
-            service=next(iter(weights)),
-            rank=route.priority + 1,
-            idempotent=route.kind == "idempotent",
-            deadline_ms=timeout_ms,
-            limit_ms=timeout_ms,
-            objective_ms=int(route.slo_latency_s * _MS_PER_S),
-            attempts=route.max_attempts,
-        ),
+def _read_sizes(limits: object, problems: list[Problem]) -> SizeLimits:
+    fields: Fields = limits if isinstance(limits, dict) else {}
+    if limits is not None and not isinstance(limits, dict):
+        problems.append(Problem("limits", "a table", type(limits).__name__))
+    default = SizeLimits()
+
+    def number(name: str, default: float, lowest: float, highest: float) -> float:
+        return read_number(
+            fields,
+            name,
+            "limits",
+            problems,
+            default=default,
+            lowest=lowest,
+            highest=highest,
+        )
+
+    body_bytes = int(number("max_body_bytes", default.request_bytes, 1, 2**40))
+    return SizeLimits(
+        request_bytes=min(body_bytes, MAX_BODY_BYTES),
+        head_bytes=int(number("max_header_bytes", 0, 0, MAX_HEAD_BYTES)),
+        idle_ms=int(number("idle_timeout_s", 0, 0, MAX_TIMEOUT_S) * _MS_PER_S),
+        read_ms=int(number("header_timeout_s", 0, 0, MAX_TIMEOUT_S) * _MS_PER_S),
     )
 
 
 def _bundle(
-    document: _Document,
+    version: int,
     routes: tuple[HostRoute, ...],
+    services: list[_Service],
+    sizes: SizeLimits,
     bounds: Bounds,
     readers: ReaderPolicy,
 ) -> Bundle:
-    limits = document.limits
     return Bundle(
         deployment="",
-        version=document.version,
+        version=version,
         availability_zones=(),
         services={
             # The number of requests that a target runs at once is in its own entry.
@@ -159,7 +153,7 @@
                 connections=service.max_conns,
                 queue=MAX_QUEUED_REQUESTS,
             )
-            for service in document.services
+            for service in services
         },
         routes={route.name: route.route for route in routes},
         retry=RetryPolicy(
@@ -173,10 +167,5 @@
             limit_ms=int(bounds.grace_ms * DRAIN_SHARE), callers_ms=SERVE_CALLERS_MS
         ),
         readers=readers,
-        sizes=SizeLimits(
-            request_bytes=limits.max_body_bytes,
-            head_bytes=limits.max_header_bytes,
-            idle_ms=int(limits.idle_timeout_s * _MS_PER_S),
-            read_ms=int(limits.header_timeout_s * _MS_PER_S),
-        ),
+        sizes=sizes,
     )
--- a/tests/common/relayed_node.py
+++ b/tests/common/relayed_node.py
@@ -26,7 +26,8 @@
     """Run a node with the settings file and relays given as JSON."""
     network = relayed_network(json.loads(relays))
     daemon.tcp_network = lambda: network
-    return daemon.run_daemon(load_settings(Path(settings)).unwrap())
+    path = Path(settings)
+    return daemon.run_daemon(load_settings(path).unwrap(), path)
 
 
 if __name__ == "__main__":
--- a/tests/cover/test_bundle_readers.py
+++ b/tests/cover/test_bundle_readers.py
@@ -1,10 +1,12 @@
 """Which nodes read the platform, when and how often."""
 
+from math import inf
 from random import Random
 
 from hypothesis import given, settings, strategies as st
 
 from jacinthshed.internal.bundle.model import ReaderPolicy
+from jacinthshed.internal.bundle.read_budget import ReadBudget
 from jacinthshed.internal.bundle.read_scheduler import (
     HOP_DELAY_MS,
     STAGE_MS,
@@ -167,3 +169,10 @@
     gaps = [b - a for a, b in zip(waits, waits[1:], strict=False)]
     assert min(gaps[-3:]) >= 5_000
     assert max(gaps) <= 11_000
+
+
+def test_a_rate_of_zero_permits_the_first_read_only():
+    budget = ReadBudget(now_ms=0.0, node_reads_per_s=0.0)
+    assert budget.take(0.0)
+    assert not budget.take(3_600_000.0)
+    assert budget.wait_ms(3_600_000.0) == inf
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -7,6 +7,7 @@
 
 from jacinthshed.internal.bundle.model import ReaderPolicy
 from jacinthshed.internal.bundle.order import BundleOrder
+from jacinthshed.internal.bundle.store import BundleStore, OfferOutcome
 from jacinthshed.internal.platform.bounds import Bounds, read_bounds
 from jacinthshed.internal.platform.policy_document import policy_document_opener
 from jacinthshed.internal.platform.store import Item
@@ -15,8 +16,10 @@
 
 OPEN_BUNDLE = policy_document_opener(Bounds(), ReaderPolicy())
 ENTRY = json.loads(entry_of("t", "10.0.0.9", "b"))
+# JSON has no infinite numbers.
+FLOATS = st.floats(allow_nan=False, allow_infinity=False)
 VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    st.none() | st.booleans() | st.integers() | FLOATS | st.text(max_size=8),
     lambda below: (
         st.lists(below, max_size=3)
         | st.dictionaries(st.sampled_from([*ENTRY, "routes", "version"]), below)
@@ -100,6 +103,92 @@
     assert other.order > BundleOrder(6, b"\xff" * 32)
 
 
+def changed_document(part, index, **changes):
+    """Return the default document with some fields of one route or service changed."""
+    document = json.loads(desired_state(3))
+    document[part][index].update(changes)
+    return json.dumps(document).encode()
+
+
+@pytest.mark.parametrize("kind", ["upload", "stream", "", 7, None])
+def test_a_kind_that_is_not_idempotent_never_runs_twice_and_spares_other_routes(kind):
+    data = changed_document("routes", 0, kind=kind)
+    opened = OPEN_BUNDLE(data, "store").unwrap()
+    assert not opened.bundle.routes["lookup"].idempotent
+    assert set(opened.bundle.routes) == {"lookup", "order"}
+    omitted = [problem.path for problem in opened.omitted]
+    assert omitted == ([] if kind == "upload" else ["routes[0].kind"])
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"timeout_s": "soon"},
+        {"timeout_s": 1e300},
+        {"timeout_s": -1},
+        {"priority": None},
+        {"max_attempts": 0},
+        {"weighted_backends": [{"service": "b", "weight": "half"}]},
+        {"weighted_backends": 5},
+    ],
+)
+def test_an_unreadable_field_is_left_out_with_its_place_and_the_route_stays(changes):
+    data = changed_document("routes", 0, **changes)
+    opened = OPEN_BUNDLE(data, "store").unwrap()
+    assert opened.routes.match(b"GET", b"/lookup/", HOST.encode()).service == "b"
+    assert all(problem.path.startswith("routes[0].") for problem in opened.omitted)
+
+
+def test_a_route_without_a_readable_service_hides_the_one_with_a_shorter_prefix():
+    routes = [route("short", "/r/", "a"), route("long", "/r/x/", 7)]
+    found = OPEN_BUNDLE(desired_state(1, routes=routes), "store").unwrap()
+    assert found.routes.match(b"GET", b"/r/x/1", HOST.encode()).service == ""
+    assert found.routes.match(b"GET", b"/r/1", HOST.encode()).service == "a"
+    assert [problem.path for problem in found.omitted] == ["routes[1]"]
+
+
+def test_an_unreadable_service_or_limit_is_left_out_by_itself():
+    document = json.loads(changed_document("services", 0, max_conns="many"))
+    document["limits"] = {"max_body_bytes": 1e300, "idle_timeout_s": 9}
+    opened = OPEN_BUNDLE(json.dumps(document).encode(), "store").unwrap()
+    assert set(opened.bundle.services) == {"b"}
+    assert opened.bundle.sizes.idle_ms == 9_000
+    paths = [problem.path for problem in opened.omitted]
+    assert paths == ["services[0]", "limits.max_body_bytes"]
+
+
+@pytest.mark.parametrize("routes", [None, {}, 3, [7], [{"host": HOST}]])
+def test_a_document_without_a_single_readable_route_does_not_replace_a_known_one(
+    routes,
+):
+    store = BundleStore(open_bundle=OPEN_BUNDLE)
+    store.offer(desired_state(3), "store")
+    document = json.loads(desired_state(4))
+    document["routes"] = routes
+    offer = store.offer(json.dumps(document).encode(), "store")
+    assert offer.outcome is OfferOutcome.REFUSED
+    assert store.order.version == 3
+
+
+@settings(max_examples=300)
+@given(
+    damaged=st.integers(0, 2),
+    fields=st.dictionaries(
+        st.sampled_from([*route("r", "/", "a"), "weighted_backends"]), VALUES
+    ),
+    whole=st.none() | VALUES,
+)
+def test_no_change_of_one_route_takes_another_route_away(damaged, fields, whole):
+    routes = [route(f"r{n}", f"/r{n}/", f"s{n}") for n in range(3)]
+    routes[damaged] = {**routes[damaged], **fields} if whole is None else whole
+    opened = OPEN_BUNDLE(desired_state(1, routes=routes), "store").unwrap()
+    for number in {0, 1, 2} - {damaged}:
+        path = f"/r{number}/1".encode()
+        found = opened.routes.match(b"GET", path, HOST.encode())
+        # A damaged route may still be readable and have a longer prefix.
+        assert found.service == f"s{number}" or found.route_name != f"r{number}"
+
+
 def test_routes_of_one_host_are_found_by_the_longest_prefix():
     routes = [route("short", "/r/", "a"), route("long", "/r/x/", "b")]
     found = OPEN_BUNDLE(desired_state(1, routes=routes), "store").unwrap().routes
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -75,6 +75,7 @@
         (request("/none/1", "i"), 404, "no route"),
         (request("/lookup/1", "i", host="other.example"), 404, "no route"),
         (request("/lookup/1", None), 400, "Attempt-Id"),
+        (request("/lookup/1", ""), 400, "Attempt-Id"),
         (request("/lookup/1", "x" * 129), 400, "Attempt-Id"),
         (request("/lookup/1", "i", deadline_ms="soon"), 400, "Deadline-Ms"),
         (request("/lookup/1", "i", x_note="n" * 4_096), 431, "4096 bytes"),
