Keep whole answers, bounded reads, and work at silent peers

Three causes, each with tests that failed first: - A body without a length that arrived after its head was taken for an empty, complete answer, and a chunked one failed: an empty buffer was given to h11, which takes that for the end of the stream. (Found by the new test of an endless body; 3 of 5 cases of test_a_body_that_arrives_after_its_head_is_whole_or_fails were red.) - Interim responses without end kept an exchange, or a call to the store, busy until its timeout; 67 MB were taken. At most 100 and 16 are read now. Endless heads, bodies, chunk extensions, trailers and frames were bounded already (21 tests green before). - An order at a peer that was silent for 1.5 s was given up with 502, and its run was cancelled when the link closed. A silent link now takes no new requests and stays open for the exchanges that must not be repeated; lookups still move to another target.

--- a/src/jacinthshed/internal/flow/steps.py
+++ b/src/jacinthshed/internal/flow/steps.py
@@ -23,10 +23,13 @@
     """Submit to ``host``; ends with ``Replied``, ``LinkFailed`` or ``TimedOut``.
 
     When the node stops waiting for an unfenced attempt, it cancels it at the target.
+    While the link to ``host`` is silent, an exchange that is not ``is_repeatable``
+    goes on waiting for its reply.
     """
 
     host: str
     submit: Submit
+    is_repeatable: bool = True
 
 
 class RevokeAll(NamedTuple):
--- a/src/jacinthshed/internal/flow/unfenced.py
+++ b/src/jacinthshed/internal/flow/unfenced.py
@@ -36,7 +36,8 @@
         attempt_number += 1
         attempt_id = f"{call.request_id}.{attempt_number}"
         attempt = Attempt(attempt_id, tools.split(call, attempt_id), "")
-        event = yield Exchange(host, tools.frame(call, attempt, host))
+        frame = tools.frame(call, attempt, host)
+        event = yield Exchange(host, frame, is_repeatable=call.idempotent)
         reply = _intact_reply(event)
         if reply is not None:
             tools.give_back(call, attempt_id, reply.allowance)
--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -24,6 +24,8 @@
 _MAX_HEAD_BYTES = 65_536
 # This many responses to earlier requests are skipped before the exchange fails.
 _MAX_MISMATCHED_RESPONSES = 3
+# A server may report progress, but not keep an exchange busy with interim responses.
+_MAX_INTERIM_RESPONSES = 100
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
@@ -111,7 +113,7 @@
     async def _read_final_head(
         self, protocol: h11.Connection, on_interim: InterimHandler | None
     ) -> h11.Response:
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             protocol.receive_data(await self._read_head())
             event = _next_event(protocol)
             if type(event) is h11.Response:
@@ -121,6 +123,9 @@
             if on_interim is not None:
                 headers = without_hop_by_hop_fields(tuple(event.headers))
                 await on_interim(Response(event.status_code, headers))
+        raise BadResponseError(
+            f"the server sent more than {_MAX_INTERIM_RESPONSES} interim responses"
+        )
 
     async def _read_head(self) -> bytes:
         searched = 0
@@ -152,7 +157,10 @@
     ) -> bytes:
         """Read a body that is chunked or ends when the connection closes."""
         body = bytearray()
-        protocol.receive_data(self._consume(len(self._received)))
+        if self._received:
+            # h11 would take empty data for the end of the stream, and so an answer
+            # whose body arrives after its head for a complete one without a body.
+            protocol.receive_data(self._consume(len(self._received)))
         while True:
             event = _next_event(protocol)
             if type(event) is h11.EndOfMessage:
--- a/src/jacinthshed/internal/http/get.py
+++ b/src/jacinthshed/internal/http/get.py
@@ -7,6 +7,7 @@
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 16_384
+MAX_INTERIM_RESPONSES = 16
 
 
 class HttpResponse(NamedTuple):
@@ -46,6 +47,7 @@
     stream: trio.abc.Stream, connection: h11.Connection, max_body_bytes: int
 ) -> HttpResponse:
     status = 0
+    interim_responses = 0
     body = bytearray()
     while True:
         event = connection.next_event()
@@ -60,6 +62,12 @@
                 raise BodyTooLargeError(f"the body exceeds {max_body_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
             return HttpResponse(status, bytes(body))
+        elif isinstance(event, h11.InformationalResponse):
+            interim_responses += 1
+            if interim_responses > MAX_INTERIM_RESPONSES:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAX_INTERIM_RESPONSES} interim responses"
+                )
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError(
                 "the server closed the connection before the end of the response"
--- a/src/jacinthshed/internal/node/driver.py
+++ b/src/jacinthshed/internal/node/driver.py
@@ -105,9 +105,7 @@
     frame: ExchangeResult | TimedOut = None
     observer.on_sent(step.host)
     try:
-        frame = await _submit_and_wait(
-            deadline_s, channel, step.submit, sender.send_keepalive
-        )
+        frame = await _submit_and_wait(deadline_s, channel, step, sender.send_keepalive)
     except trio.Cancelled:
         _cancel_unfenced(channel, step.submit)
         raise
@@ -143,12 +141,15 @@
 async def _submit_and_wait(
     deadline_s: float,
     channel: Channel,
-    submit: Submit,
+    step: Exchange,
     send_keepalive: Callable[[], Awaitable[None]] | None,
 ) -> ExchangeResult | TimedOut:
-    """Return the reply to ``submit``, or ``TimedOut`` at the deadline."""
+    """Return the reply to ``step``, or ``TimedOut`` at the deadline."""
+    submit = step.submit
     exchange: OneShot[ExchangeResult] = OneShot()
     channel.exchanges[submit.request_id] = exchange
+    if not step.is_repeatable:
+        channel.unrepeatable.add(submit.request_id)
     scheduler = current_timer_scheduler()
     timer = scheduler.add(partial(exchange.set, None))
     timer.set(deadline_s)
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -10,7 +10,7 @@
 from ..membership.link_health import LinkHealth
 from ..telemetry.log import get_logger
 from ..wire.codec import PROTOCOL_VERSION, FrameBuffer, FrameError, encode
-from ..wire.frames import Frame, Heartbeat, Hello, Submit
+from ..wire.frames import Cancel, Frame, Heartbeat, Hello, Submit
 from .clock import Clock
 from .one_shot import OneShot
 
@@ -29,6 +29,7 @@
 
     number: int
     exchanges: dict[str, OneShot[ExchangeResult]]
+    unrepeatable: set[str]
 
     @property
     def peer(self) -> Hello | None:
@@ -45,6 +46,10 @@
     """Owns one stream: its reader, its writer and the exchanges pending on it.
 
     Frames that are queued while the writer is busy are sent in one call.
+
+    A link whose peer is ``silent`` takes no new requests. It stays open while it has
+    exchanges in ``unrepeatable``: their requests may be running at the peer and must
+    not be sent again, and a peer that was only suspended still answers them here.
     """
 
     def __init__(
@@ -59,6 +64,8 @@
         self.number = number
         self.peer: Hello | None = None
         self.exchanges: dict[str, OneShot[ExchangeResult]] = {}
+        self.unrepeatable: set[str] = set()
+        self.silent = False
         self.health = LinkHealth(now_ms=clock.now_ms(), policy=policy)
         self.closed = False
         self._stream = stream
@@ -126,13 +133,28 @@
         hello_overdue = (
             self.peer is None and now_ms - self._opened_ms > self._hello_timeout_ms
         )
-        if hello_overdue or self.health.is_silent(now_ms):
+        if hello_overdue:
             self.close()
+        elif self.silent or self.health.is_silent(now_ms):
+            self._retire()
         elif self.health.is_heartbeat_due(now_ms):
             self._heartbeat_sequence += 1
             self.send(Heartbeat(self._heartbeat_sequence, echo=True))
             self.health.heartbeat_sent(now_ms)
 
+    def _retire(self) -> None:
+        """End the exchanges whose requests may be repeated elsewhere.
+
+        Without others the link is closed, which cancels the requests at the peer.
+        """
+        self.silent = True
+        for request_id in [*self.exchanges]:
+            if request_id not in self.unrepeatable:
+                self.exchanges.pop(request_id).set(None)
+                self.send(Cancel(request_id, "", ""))
+        if not self.exchanges:
+            self.close()
+
     async def run(self, hello: Hello, opened: OneShot[Hello | None]) -> None:
         """Send and receive frames until the stream ends.
 
@@ -201,6 +223,7 @@
         for exchange in self.exchanges.values():
             exchange.set(None)
         self.exchanges.clear()
+        self.unrepeatable.clear()
 
 
 def finish_exchange(channel: Channel, request_id: str, frame: Frame) -> bool:
@@ -218,6 +241,7 @@
 
 
 def _pop_exchange(channel: Channel, request_id: str) -> OneShot[ExchangeResult] | None:
+    channel.unrepeatable.discard(request_id)
     exchange = channel.exchanges.pop(request_id, None)
     if exchange is not None and isinstance(channel, Link):
         channel.health.request_ended()
--- a/src/jacinthshed/internal/node/links.py
+++ b/src/jacinthshed/internal/node/links.py
@@ -66,8 +66,12 @@
         return self._by_number.get(number)
 
     def to_host(self, host: str) -> Channel | None:
-        """Return the open link to ``host``, or ``None``."""
-        return self._by_host.get(host)
+        """Return the open link to ``host`` for new frames, or ``None``."""
+        channel = self._by_host.get(host)
+        if isinstance(channel, Link) and channel.silent:
+            del self._by_host[host]
+            return None
+        return channel
 
     def stream_links(self) -> Iterator[Link]:
         """Yield each link to a peer; the local link has no stream."""
@@ -77,7 +81,7 @@
 
     async def open(self, host: str) -> Channel | None:
         """Return a link to ``host``, opening one if needed, or ``None`` on failure."""
-        channel = self._by_host.get(host)
+        channel = self.to_host(host)
         if channel is not None:
             return channel
         opening = self._opening.get(host)
--- a/src/jacinthshed/internal/node/local_link.py
+++ b/src/jacinthshed/internal/node/local_link.py
@@ -16,6 +16,7 @@
         self.number = LOCAL_LINK_NUMBER
         self._hello = hello
         self.exchanges: dict[str, OneShot[ExchangeResult]] = {}
+        self.unrepeatable: set[str] = set()
         self._on_frame = on_frame
 
     @property
--- a/tests/cover/test_http_stray_answers.py
+++ b/tests/cover/test_http_stray_answers.py
@@ -1,5 +1,6 @@
 """Responses to other requests, and servers that close idle connections."""
 
+import pytest
 import trio
 import trio.testing
 
@@ -87,6 +88,46 @@
     assert exchanged(script, [b"1", b"2"], pause_s=1.5)[1] == 2
 
 
+@pytest.mark.parametrize(
+    ("head", "parts", "is_whole"),
+    [
+        (b"", (b"bo", b"dy"), True),
+        (b"Transfer-Encoding: chunked\r\n", (b"4\r\nbo", b"dy\r\n0\r\n\r\n"), True),
+        (b"Transfer-Encoding: chunked\r\n", (b"4\r\nbo", b"dy\r\n"), False),
+        (b"Content-Length: 4\r\n", (b"bo", b"dy"), True),
+        (b"Content-Length: 4\r\n", (b"bo", b"d"), False),
+    ],
+)
+def test_a_body_that_arrives_after_its_head_is_whole_or_fails(head, parts, is_whole):
+    async def serve(stream):
+        await stream.receive_some()
+        for part in (b"HTTP/1.1 200 OK\r\n" + head + b"\r\n", *parts):
+            await stream.send_all(part)
+            await trio.sleep(0.1)
+        await stream.aclose()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+
+            async def connect(address):
+                client_end, server_end = trio.testing.memory_stream_pair()
+                nursery.start_soon(serve, server_end)
+                return client_end
+
+            pool = BackendPool(connect=connect, address="x", max_connections=1)
+            return await pool.request(
+                Request(b"GET", b"/", ((b"host", b"x"),)),
+                timeout_ms=5_000,
+                max_body_bytes=100,
+            )
+
+    outcome = run_virtual(main)
+    if is_whole:
+        assert outcome.body == b"body"
+    else:
+        assert isinstance(outcome, ExchangeFailed) and outcome.sent
+
+
 def test_a_tcp_stream_carries_more_than_the_kernel_buffers():
     size = 8_000_000
 
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -7,6 +7,7 @@
 
 from jacinthshed.internal.http.message import header
 from jacinthshed.internal.node.link import Link
+from jacinthshed.internal.wire.frames import Heartbeat
 from tests.common.fleet import run_virtual
 from tests.common.http import receive_all
 from tests.common.machines import desired_state, entry_of, machines, request, route
@@ -328,6 +329,63 @@
     run_scenario(scenario)
 
 
+async def send_to_silent_peer(fleet, monkeypatch, path, silent_s):
+    """Send a request whose target's node neither reads nor writes for some time."""
+    fleet.targets["10.0.0.2"].work_ms = 300
+    links = fleet.nodes["10.0.0.1"]._components.links
+    link = await links.open("10.0.0.2")
+    awake = trio.Event()
+    receive = link._stream.receive_some
+
+    async def receive_later(*args):
+        data = await receive(*args)
+        await awake.wait()
+        return data
+
+    monkeypatch.setattr(link._stream, "receive_some", receive_later)
+    # The frame that the reader was waiting for already.
+    link.send(Heartbeat(99, echo=True))
+    await trio.sleep(0.01)
+    answers = []
+
+    async def send():
+        sent = request(path, "x", deadline_ms="8000")
+        answers.append(await fleet.send("10.0.0.1", sent, timeout_ms=9_000))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        await trio.sleep(silent_s)
+        awake.set()
+    return answers[0]
+
+
+def test_an_order_at_a_peer_that_is_silent_for_some_seconds_gets_its_answer(
+    monkeypatch,
+):
+    async def scenario(fleet):
+        path = "/order/1"
+        # Longer than the time after which a link counts as silent.
+        answer = await send_to_silent_peer(fleet, monkeypatch, path, silent_s=4)
+        assert answer.status == 200
+        assert fleet.targets["10.0.0.2"].runs == {"x": 1}
+
+    state = desired_state(
+        routes=[route("order", "/order/", "b", kind="non_idempotent", timeout_s=9)]
+    )
+    run_scenario(scenario, TWO, state)
+
+
+def test_a_lookup_at_a_silent_peer_moves_to_another_target(monkeypatch):
+    async def scenario(fleet):
+        # Of the two targets, one is known to this node only by its silent link.
+        fleet.targets["10.0.0.3"].work_ms = 10
+        answer = await send_to_silent_peer(fleet, monkeypatch, "/lookup/1", silent_s=4)
+        assert answer.status == 200
+
+    state = desired_state(routes=[route("lookup", "/lookup/", "b", timeout_s=9)])
+    run_scenario(scenario, THREE, state)
+
+
 def test_a_node_that_starts_alone_serves_as_soon_as_it_has_read_the_store():
     async def main():
         async with machines({"10.0.0.2": "b"}) as fleet:
