Keep a node alive after an unexpected error in one exchange or reading

Cause: the tasks that exchange a request with the backend server and that read the store run in the node's nursery, so that any error they did not expect ended the process and all requests in it.

Change: such an error is logged; the request ends as may-have-run, the reading counts as failed and the node keeps what it knows.

--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -18,9 +18,12 @@
 from ..flow.target import Target
 from ..http.client import BackendPool
 from ..http.outcome import ExchangeFailed, Outcome
+from ..telemetry.log import get_logger
 from .clock import Clock
 from .links import LinkTable
 
+log = get_logger(__name__)
+
 
 class Dispatcher:
     """Owns the exchanges with this node's backend server.
@@ -103,7 +106,13 @@
     async def _run(self, dispatch: Dispatch) -> None:
         ticket = dispatch.ticket
         scope = self._scopes[ticket] = trio.CancelScope()
-        result = _result_of(await self._exchange(dispatch, scope))
+        try:
+            result = _result_of(await self._exchange(dispatch, scope))
+        except Exception:
+            # One request must not end the process and all other requests. Whether the
+            # backend server got this one is not known.
+            log.exception("exchange failed", request_id=dispatch.submit.request_id)
+            result = BackendFailure(True, FailureCause.TIMED_OUT, "internal error")
         del self._scopes[ticket]
         if ticket in self._aborted:
             self._aborted.discard(ticket)
--- a/src/jacinthshed/internal/node/feed_task.py
+++ b/src/jacinthshed/internal/node/feed_task.py
@@ -7,9 +7,11 @@
 
 from ..bundle.read_scheduler import ReadAction, ReadScheduler
 from ..discovery.feed import Feed
-from ..telemetry.log import LogDecision
+from ..telemetry.log import LogDecision, get_logger
 from .clock import MS_PER_S, Clock
 
+log = get_logger(__name__)
+
 
 class FeedTask:
     """Reads one feed as often as this node's rank permits.
@@ -47,22 +49,32 @@
             if turn.action is ReadAction.WAIT:
                 await trio.sleep(turn.wait_ms / MS_PER_S)
                 continue
-            if turn.action is ReadAction.WATCH:
-                result = await self._feed.watch(self._watch_ms())
-            else:
-                result = await self._feed.read()
-            answered = not isinstance(result, Failure)
-            if answered:
-                self.has_answered = True
-                self._recovered()
-                result.unwrap()()
-            else:
-                if self._failing_since_ms is None:
-                    self._failing_since_ms = self._clock.now_ms()
-                self._log("platform_failed", key=key, reason=str(result.failure()))
+            try:
+                answered = await self._take_turn(turn.action)
+            except Exception:
+                # What was read must not end the process; the node keeps what it knows.
+                log.exception("reading failed", key=key)
+                answered = False
             self._reader.read_finished(self._clock.now_ms(), key, answered=answered)
             self.attempted.set()
 
+    async def _take_turn(self, action: ReadAction) -> bool:
+        """Read or watch once and apply the result; return whether it succeeded."""
+        if action is ReadAction.WATCH:
+            result = await self._feed.watch(self._watch_ms())
+        else:
+            result = await self._feed.read()
+        if isinstance(result, Failure):
+            if self._failing_since_ms is None:
+                self._failing_since_ms = self._clock.now_ms()
+            reason = str(result.failure())
+            self._log("platform_failed", key=self._feed.key, reason=reason)
+            return False
+        self.has_answered = True
+        self._recovered()
+        result.unwrap()()
+        return True
+
     def _recovered(self) -> None:
         if self._failing_since_ms is None:
             return
