--- a/src/jacinthshed/internal/platform/feeds.py
+++ b/src/jacinthshed/internal/platform/feeds.py
@@ -68,13 +68,8 @@
         result = await store.read_prefix(prefix, allow_stale)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        found = result.unwrap()
+        found = _outdated(result.unwrap()) if allow_stale else result.unwrap()
         revision = found.revision
-        if allow_stale:
-            # The store's own revision may be above that of what it returned; a watch
-            # from there would miss the changes between them.
-            revision = max((item.revision for item in found.items), default=0)
-            found = found._replace(revision=revision)
         allow_stale = False
         return Success(lambda: on_read(found))
 
@@ -90,3 +85,13 @@
         return Success(lambda: on_change(found))
 
     return Feed(prefix, read, watch)
+
+
+def _outdated(found: StoreItems) -> StoreItems:
+    """Return a reading that may be outdated with the revision of its newest item.
+
+    The store's own revision may be above that of what it returned; a watch from there
+    would miss the changes between them.
+    """
+    revision = max((item.revision for item in found.items), default=0)
+    return found._replace(revision=revision)
--- a/src/jacinthshed/internal/platform/policy_routes.py
+++ b/src/jacinthshed/internal/platform/policy_routes.py
@@ -52,11 +52,18 @@
         problems.append(Problem(path, "a host and a prefix", "none that can be read"))
         return None
     weights = _read_weights(fields, path, problems)
-    kind = read_text(fields, "kind")
-    if kind not in KNOWN_KINDS:
-        expected = f"a kind of {sorted(KNOWN_KINDS)}"
-        problems.append(Problem(f"{path}.kind", expected, repr(fields.get("kind"))))
+    return HostRoute(
+        name=read_text(fields, "name") or f"{host}{prefix}",
+        host=host,
+        path_prefix=prefix,
+        weights=weights,
+        route=_read_policy(fields, path, next(iter(weights)), problems),
+    )
+
 
+def _read_policy(
+    fields: Fields, path: str, service: str, problems: list[Problem]
+) -> Route:
     def number(name: str, default: float, lowest: float, highest: float) -> float:
         return read_number(
             fields,
@@ -68,24 +75,20 @@
             highest=highest,
         )
 
-    timeout_ms = int(
-        number("timeout_s", DEFAULT_TIMEOUT_S, 0, MAX_TIMEOUT_S) * _MS_PER_S
-    )
+    kind = read_text(fields, "kind")
+    if kind not in KNOWN_KINDS:
+        expected = f"a kind of {sorted(KNOWN_KINDS)}"
+        problems.append(Problem(f"{path}.kind", expected, repr(fields.get("kind"))))
+    timeout_s = number("timeout_s", DEFAULT_TIMEOUT_S, 0, MAX_TIMEOUT_S)
     objective_s = number("slo_latency_s", 0.0, 0, MAX_TIMEOUT_S)
-    return HostRoute(
-        name=read_text(fields, "name") or f"{host}{prefix}",
-        host=host,
-        path_prefix=prefix,
-        weights=weights,
-        route=Route(
-            service=next(iter(weights)),
-            rank=int(number("priority", 0, 0, MAX_PRIORITY)) + 1,
-            idempotent=kind == IDEMPOTENT_KIND,
-            deadline_ms=timeout_ms,
-            limit_ms=timeout_ms,
-            objective_ms=int(objective_s * _MS_PER_S),
-            attempts=int(number("max_attempts", 1, 1, MAX_ATTEMPTS)),
-        ),
+    return Route(
+        service=service,
+        rank=int(number("priority", 0, 0, MAX_PRIORITY)) + 1,
+        idempotent=kind == IDEMPOTENT_KIND,
+        deadline_ms=int(timeout_s * _MS_PER_S),
+        limit_ms=int(timeout_s * _MS_PER_S),
+        objective_ms=int(objective_s * _MS_PER_S),
+        attempts=int(number("max_attempts", 1, 1, MAX_ATTEMPTS)),
     )
 
 
