Read numbers of a document through one function

The same closure stood in two modules; it is number_reader now. Fields of the read scheduler's key state are explained. No change of behaviour.

--- a/src/jacinthshed/internal/bundle/read_scheduler.py
+++ b/src/jacinthshed/internal/bundle/read_scheduler.py
@@ -26,6 +26,7 @@
 # message: otherwise the same answer, reported back and forth, would seem more recent
 # each time, and its age would never reach the threshold.
 HOP_DELAY_MS = 100.0
+# Largest deviation from the time between two calls, as a share of it.
 BATCH_JITTER = 0.4
 
 
@@ -49,7 +50,11 @@
 
 
 class _KeyState:
-    """State of one key: whether it was ever read, and its consecutive failures."""
+    """State of one key: whether it was ever read, and its consecutive failures.
+
+    ``called_ms`` is when its last call started, ``settled_ms`` the time until which the
+    node doesn't know its rank, and ``not_before_ms`` the earliest start of a call.
+    """
 
     def __init__(self, not_before_ms: float) -> None:
         self.read_once = False
--- a/src/jacinthshed/internal/platform/lenient_decode.py
+++ b/src/jacinthshed/internal/platform/lenient_decode.py
@@ -4,7 +4,7 @@
 rest of the document unreadable.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
 import msgspec
@@ -34,31 +34,28 @@
     return items
 
 
-def read_number(
-    fields: Fields,
-    name: str,
-    path: str,
-    problems: list[Problem],
-    *,
-    default: float,
-    lowest: float,
-    highest: float,
-) -> float:
-    """Return the number ``name`` of ``fields``, or ``default``.
-
-    A value of another type, or one outside ``lowest`` to ``highest``, is added to
-    ``problems`` and replaced by ``default``.
+def number_reader(
+    fields: Fields, path: str, problems: list[Problem]
+) -> Callable[[str, float, float, float], float]:
+    """Return the function that reads a number of ``fields`` by name.
+
+    It takes the name, the default, the lowest and the highest value. A value of another
+    type or outside these limits is added to ``problems`` and replaced by the default.
     """
-    if name not in fields:
+
+    def read_number(name: str, default: float, lowest: float, highest: float) -> float:
+        if name not in fields:
+            return default
+        value = fields[name]
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        # The comparison with NaN is false.
+        if is_number and lowest <= value <= highest:
+            return float(value)
+        expected = f"a number from {lowest:g} to {highest:g}"
+        problems.append(Problem(f"{path}.{name}", expected, repr(value)[:80]))
         return default
-    value = fields[name]
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    # The comparison with NaN is false.
-    if is_number and lowest <= value <= highest:
-        return float(value)
-    expected = f"a number from {lowest:g} to {highest:g}"
-    problems.append(Problem(f"{path}.{name}", expected, repr(value)[:80]))
-    return default
+
+    return read_number
 
 
 def read_text(fields: Fields, name: str) -> str:
--- a/src/jacinthshed/internal/platform/policy_document.py
+++ b/src/jacinthshed/internal/platform/policy_document.py
@@ -24,7 +24,7 @@
 from ..settings.problem import Problem
 from ..wire.codec import MAX_FRAME_BYTES
 from .bounds import Bounds
-from .lenient_decode import Fields, decode_items, read_number
+from .lenient_decode import Fields, decode_items, number_reader
 from .policy_routes import MAX_TIMEOUT_S, convert_routes, has_services
 
 POLICY_KEY = "op/config"
@@ -96,6 +96,7 @@
             return Failure(BundleError(source, (problem,)))
         problems: list[Problem] = []
         routes = convert_routes(document.routes, problems)
+        # Operators may publish a document without routes on purpose.
         if document.routes != [] and not has_services(routes):
             return Failure(BundleError(source, tuple(problems)))
         services = decode_items(document.services, _Service, "services", problems)
@@ -114,17 +115,7 @@
         problems.append(Problem("limits", "a table", type(limits).__name__))
     default = SizeLimits()
 
-    def number(name: str, default: float, lowest: float, highest: float) -> float:
-        return read_number(
-            fields,
-            name,
-            "limits",
-            problems,
-            default=default,
-            lowest=lowest,
-            highest=highest,
-        )
-
+    number = number_reader(fields, "limits", problems)
     body_bytes = int(number("max_body_bytes", default.request_bytes, 1, 2**40))
     return SizeLimits(
         request_bytes=min(body_bytes, MAX_BODY_BYTES),
--- a/src/jacinthshed/internal/platform/policy_routes.py
+++ b/src/jacinthshed/internal/platform/policy_routes.py
@@ -8,7 +8,7 @@
 from ..bundle.host_routes import HostRoute
 from ..bundle.model import Route
 from ..settings.problem import Problem
-from .lenient_decode import Fields, read_number, read_text
+from .lenient_decode import Fields, number_reader, read_text
 
 # Only requests of this kind may run more than once. Every other kind, known or not, is
 # treated as non-idempotent, since a repeated side effect can't be undone.
@@ -64,17 +64,7 @@
 def _read_policy(
     fields: Fields, path: str, service: str, problems: list[Problem]
 ) -> Route:
-    def number(name: str, default: float, lowest: float, highest: float) -> float:
-        return read_number(
-            fields,
-            name,
-            path,
-            problems,
-            default=default,
-            lowest=lowest,
-            highest=highest,
-        )
-
+    number = number_reader(fields, path, problems)
     kind = read_text(fields, "kind")
     if kind not in KNOWN_KINDS:
         expected = f"a kind of {sorted(KNOWN_KINDS)}"
@@ -114,10 +104,8 @@
     if not isinstance(part, dict) or not service:
         problems.append(Problem(path, "a service and a weight", repr(part)[:80]))
         return {}
-    weight = read_number(
-        part, "weight", path, problems, default=0.0, lowest=0, highest=1e9
-    )
-    return {service: weight}
+    number = number_reader(part, path, problems)
+    return {service: number("weight", 0.0, 0, 1e9)}
 
 
 def has_services(routes: Sequence[HostRoute]) -> bool:
