Leave the order of draws and of ended exchanges as it was

The read scheduler drew a random number also where no batches are set, and a silent link without requests that must not be repeated ended its exchanges one by one instead of closing. Change: no draw without batches; such a link is closed as before. The golden files are unchanged.

--- a/src/jacinthshed/internal/bundle/read_scheduler.py
+++ b/src/jacinthshed/internal/bundle/read_scheduler.py
@@ -207,6 +207,8 @@
 
         It varies, as otherwise one change would make all readers call in step.
         """
+        if self._policy.batch_ms == 0:
+            return 0.0
         share = 1.0 + BATCH_JITTER * (2.0 * self._random.random() - 1.0)
         return share * self._policy.batch_ms
 
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -148,12 +148,13 @@
         Without others the link is closed, which cancels the requests at the peer.
         """
         self.silent = True
+        if not self.unrepeatable:
+            self.close()
+            return
         for request_id in [*self.exchanges]:
             if request_id not in self.unrepeatable:
                 self.exchanges.pop(request_id).set(None)
                 self.send(Cancel(request_id, "", ""))
-        if not self.exchanges:
-            self.close()
 
     async def run(self, hello: Hello, opened: OneShot[Hello | None]) -> None:
         """Send and receive frames until the stream ends.
