Log when the store was restored from a copy

The store's answers carry the header Store-Era, which rises with each restore. It is read with each answer, and a feed that sees it change logs store_restored with the key, the generation and the revisions before and after, which no other line tells from a short outage. An answer whose header is not a number is an error of the store, as its revisions can't be placed.

The stand-in store can be restored from a copy: revisions go back, a watch from one that it doesn't have gets 410, waiting watches are cut.

--- a/src/jacinthshed/internal/http/get.py
+++ b/src/jacinthshed/internal/http/get.py
@@ -5,16 +5,19 @@
 import h11
 import trio
 
+from .message import Headers
+
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 16_384
 MAX_INTERIM_RESPONSES = 16
 
 
 class HttpResponse(NamedTuple):
-    """The status and the complete body of a response."""
+    """The status, the complete body and the header fields of a response."""
 
     status: int
     body: bytes
+    headers: Headers = ()
 
 
 class BodyTooLargeError(Exception):
@@ -47,6 +50,7 @@
     stream: trio.abc.Stream, connection: h11.Connection, max_body_bytes: int
 ) -> HttpResponse:
     status = 0
+    headers: Headers = ()
     interim_responses = 0
     body = bytearray()
     while True:
@@ -56,12 +60,13 @@
             connection.receive_data(bytes(received))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            headers = tuple(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > max_body_bytes:
                 raise BodyTooLargeError(f"the body exceeds {max_body_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status, bytes(body))
+            return HttpResponse(status, bytes(body), headers)
         elif isinstance(event, h11.InformationalResponse):
             interim_responses += 1
             if interim_responses > MAX_INTERIM_RESPONSES:
--- a/src/jacinthshed/internal/platform/feeds.py
+++ b/src/jacinthshed/internal/platform/feeds.py
@@ -6,13 +6,18 @@
 
 from ..discovery.feed import ApplyReading, Feed
 from ..discovery.publication import Sinks
+from ..telemetry.log import LogDecision
 from .policy_document import POLICY_KEY
 from .store import StoreClient, StoreErrorKind, StoreItems
 from .target_entries import TARGETS_PREFIX, parse_entry
 
 
 def policy_feed(
-    store: StoreClient, sinks: Sinks, *, starts_stale: bool = False
+    store: StoreClient,
+    sinks: Sinks,
+    log: LogDecision,
+    *,
+    starts_stale: bool = False,
 ) -> Feed:
     """Return the feed of the operators' configuration document.
 
@@ -24,11 +29,16 @@
             if item.key == POLICY_KEY and item.value is not None:
                 sinks.take_bundle(item.value)
 
-    return _feed(store, POLICY_KEY, take, take, starts_stale)
+    return _feed(store, POLICY_KEY, take, take, log, starts_stale)
 
 
 def targets_feed(
-    store: StoreClient, sinks: Sinks, peer_port: int, *, starts_stale: bool = False
+    store: StoreClient,
+    sinks: Sinks,
+    log: LogDecision,
+    peer_port: int,
+    *,
+    starts_stale: bool = False,
 ) -> Feed:
     """Return the feed of the targets' entries.
 
@@ -44,7 +54,7 @@
         entries = [parse_entry(item, peer_port) for item in found.items]
         sinks.change_targets(found.revision, entries)
 
-    return _feed(store, TARGETS_PREFIX, replace, change, starts_stale)
+    return _feed(store, TARGETS_PREFIX, replace, change, log, starts_stale)
 
 
 def _feed(
@@ -52,6 +62,7 @@
     prefix: str,
     on_read: Callable[[StoreItems], None],
     on_change: Callable[[StoreItems], None],
+    log: LogDecision,
     starts_stale: bool,
 ) -> Feed:
     """Return a feed that watches ``prefix`` from the revision of its last result.
@@ -61,14 +72,28 @@
     items is a complete reading too: its first item is then a change.
     """
     revision = 0
+    generation: int | None = None
     allow_stale = starts_stale
 
+    def note_generation(found: StoreItems) -> None:
+        nonlocal generation
+        if generation is not None and found.generation != generation:
+            log(
+                "store_restored",
+                key=prefix,
+                generation=found.generation,
+                revision=found.revision,
+                revision_before=revision,
+            )
+        generation = found.generation
+
     async def read() -> Result[ApplyReading, object]:
         nonlocal revision, allow_stale
         result = await store.read_prefix(prefix, allow_stale)
         if isinstance(result, Failure):
             return Failure(result.failure())
         found = _outdated(result.unwrap()) if allow_stale else result.unwrap()
+        note_generation(found)
         revision = found.revision
         allow_stale = False
         return Success(lambda: on_read(found))
@@ -81,6 +106,7 @@
                 return await read()
             return Failure(result.failure())
         found = result.unwrap()
+        note_generation(found)
         revision = max(revision, found.revision)
         return Success(lambda: on_change(found))
 
--- a/src/jacinthshed/internal/platform/headers.py
+++ b/src/jacinthshed/internal/platform/headers.py
@@ -11,5 +11,7 @@
 # Set by a target on its answer to a request that it has not run.
 NOT_EXECUTED = b"not-executed"
 RETRY_AFTER = b"retry-after"
+# Set by the store on each answer; rises each time the store is restored from a copy.
+STORE_ERA = b"store-era"
 # Service of the backend server beside the node where the request entered.
 CALLER_SERVICE = b"caller-service"
--- a/src/jacinthshed/internal/platform/integration.py
+++ b/src/jacinthshed/internal/platform/integration.py
@@ -58,8 +58,8 @@
     def feeds(connect: Connect, sinks: Sinks, log: LogDecision) -> Sequence[Feed]:
         client = http_store_client(address=str(store.address), connect=connect)
         return [
-            policy_feed(client, sinks, starts_stale=is_first_start),
-            targets_feed(client, sinks, peer_port, starts_stale=is_first_start),
+            policy_feed(client, sinks, log, starts_stale=is_first_start),
+            targets_feed(client, sinks, log, peer_port, starts_stale=is_first_start),
         ]
 
     publication = Publication(
--- a/src/jacinthshed/internal/platform/store.py
+++ b/src/jacinthshed/internal/platform/store.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from enum import StrEnum
 from functools import partial
-from typing import Any, NamedTuple, Protocol, TypeVar
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 from urllib.parse import urlencode
 
 import h11
@@ -14,9 +14,11 @@
 from returns.result import Failure, Result, Success
 
 from ..http.get import BodyTooLargeError, HttpResponse, http_get
+from ..http.message import header
 from ..http.network import Connect
 from ..settings.problem import Problem
 from ..telemetry.log import get_logger
+from .headers import STORE_ERA
 from .lenient_decode import decode_items
 
 # A page holds about 500 items, or 1 MB of them, and the JSON around them.
@@ -27,6 +29,9 @@
 # A directory of a thousand targets takes three pages.
 MAX_PAGES = 64
 
+# The most restores of the store that a node can count.
+MAX_GENERATION = 2**23 - 1
+
 _MS_PER_S = 1_000
 _T = TypeVar("_T")
 Query = dict[str, str | int]
@@ -65,10 +70,14 @@
 
 
 class StoreItems(NamedTuple):
-    """Items or changes of items, complete up to ``revision`` of the store."""
+    """Items or changes of items, complete up to ``revision`` of the store.
+
+    ``generation`` rises each time the store is restored from a copy.
+    """
 
     revision: int
     items: tuple[Item, ...]
+    generation: int = 0
 
 
 class StoreClient(NamedTuple):
@@ -105,12 +114,19 @@
     store_revision: int
 
 
+class _Answer(NamedTuple, Generic[_T]):
+    """A decoded answer, and the store's generation when it was given."""
+
+    content: _T
+    generation: int
+
+
 class _Call(Protocol):
     """Makes one call to the store and decodes its answer."""
 
     async def __call__(
         self, path: str, query: Query, answer_type: type[_T], wait_ms: int = 0
-    ) -> Result[_T, StoreError]: ...
+    ) -> Result[_Answer[_T], StoreError]: ...
 
 
 def http_store_client(*, address: str, connect: Connect) -> StoreClient:
@@ -121,7 +137,7 @@
 
     async def call(
         path: str, query: Query, answer_type: type[_T], wait_ms: int = 0
-    ) -> Result[_T, StoreError]:
+    ) -> Result[_Answer[_T], StoreError]:
         timeout_ms = READ_TIMEOUT_MS + wait_ms
         with trio.move_on_after(timeout_ms / _MS_PER_S):
             answer = await _get(connect, address, f"{path}?{urlencode(query)}")
@@ -137,7 +153,9 @@
         answer = await call("/kv-watch", query, _WatchAnswer, wait_ms)
         return answer.map(
             lambda got: StoreItems(
-                got.store_revision, tuple(_readable_items(got.events))
+                got.content.store_revision,
+                tuple(_readable_items(got.content.events)),
+                got.generation,
             )
         )
 
@@ -156,14 +174,14 @@
         answer = await call("/kv-range", query, _RangeAnswer)
         if isinstance(answer, Failure):
             return Failure(answer.failure())
-        page = answer.unwrap()
+        page, generation = answer.unwrap()
         # Pages are read at different times. A watch from the revision of the first one
         # returns every change that was made since.
         revision = revision or page.store_revision
         found = _readable_items(page.items)
         items += found
         if not page.has_more or not found:
-            return Success(StoreItems(revision, tuple(items)))
+            return Success(StoreItems(revision, tuple(items), generation))
         query["after"] = found[-1].key
     return Failure(StoreError(StoreErrorKind.MALFORMED, f"more than {MAX_PAGES} pages"))
 
@@ -191,14 +209,22 @@
 }
 
 
-def _decode(answer: HttpResponse, answer_type: type[_T]) -> Result[_T, StoreError]:
+def _decode(
+    answer: HttpResponse, answer_type: type[_T]
+) -> Result[_Answer[_T], StoreError]:
     if answer.status != 200:
         kind = _KIND_OF_STATUS.get(answer.status, StoreErrorKind.STATUS)
         return Failure(StoreError(kind, f"the answer has status {answer.status}"))
+    era = header(answer.headers, STORE_ERA)
+    era = b"0" if era is None else era
+    if not era.isdigit() or int(era) > MAX_GENERATION:
+        detail = f"Store-Era is {era!r}, not a number up to {MAX_GENERATION}"
+        return Failure(StoreError(StoreErrorKind.MALFORMED, detail))
     try:
-        return Success(msgspec.json.decode(answer.body, type=answer_type))
+        content = msgspec.json.decode(answer.body, type=answer_type)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
+    return Success(_Answer(content, int(era)))
 
 
 def _readable_items(found: Sequence[Any]) -> list[Item]:
--- a/src/jacinthshed/internal/standin/store.py
+++ b/src/jacinthshed/internal/standin/store.py
@@ -60,10 +60,13 @@
         is_stale = query.get("allow_stale") == "1"
         state.calls.append(f"{target.path}{STALE_SUFFIX if is_stale else ''}")
         if target.path == "/kv-range":
-            return _range(state, query["prefix"], query.get("after", ""))
-        if target.path == "/kv-watch":
-            return await _watch(state, query)
-        return Response(404)
+            answer = _range(state, query["prefix"], query.get("after", ""))
+        elif target.path == "/kv-watch":
+            answer = await _watch(state, query)
+        else:
+            answer = Response(404)
+        era = (b"store-era", str(state.era).encode())
+        return answer._replace(headers=(*answer.headers, era))
 
     return handle
 
--- a/src/jacinthshed/internal/standin/store_state.py
+++ b/src/jacinthshed/internal/standin/store_state.py
@@ -39,15 +39,25 @@
         }
 
 
+class StoreCopy(NamedTuple):
+    """A copy of the items and the history of a store at ``revision``."""
+
+    revision: int
+    items: dict[str, StoredItem]
+    history: list[StoredItem]
+    compacted_revision: int
+
+
 class StoreState:
     """Items by key, the history of changes, and the faults to inject.
 
     The next connections get the ``faults`` in order. ``page_items`` is the maximum
-    number of items in one page of a range read.
+    number of items in one page of a range read. ``era`` counts the restores.
     """
 
     def __init__(self, *, page_items: int = 500) -> None:
         self.page_items = page_items
+        self.era = 0
         self.revision = 1
         self.items: dict[str, StoredItem] = {}
         self.faults: deque[StoreFaultMode] = deque()
@@ -71,6 +81,24 @@
         self._history.clear()
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy for ``restore``."""
+        return StoreCopy(
+            self.revision,
+            dict(self.items),
+            list(self._history),
+            self._compacted_revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to ``copy``; what was written since is lost, its revisions too."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self._history = list(copy.history)
+        self._compacted_revision = copy.compacted_revision
+        self._wake()
+
     def page(self, prefix: str, after: str) -> tuple[list[StoredItem], bool]:
         """Return a page of items under ``prefix``, and whether more follow.
 
@@ -86,11 +114,13 @@
         """Wait for changes of ``prefix`` above the revision ``after`` and return them.
 
         Returns an empty list after ``wait_ms``, or ``None`` if the history since
-        ``after`` was discarded.
+        ``after`` was discarded or the store has not reached that revision. Raises
+        ``trio.BrokenResourceError`` when the store is restored during the wait.
         """
+        era = self.era
         with trio.move_on_after(wait_ms / 1_000):
             while True:
-                if after < self._compacted_revision:
+                if not self._compacted_revision <= after <= self.revision:
                     return None
                 found = [
                     item
@@ -100,6 +130,8 @@
                 if found:
                     return found
                 await self._changed.wait()
+                if self.era != era:
+                    raise trio.BrokenResourceError("the store was restored")
         return []
 
     def _change(self, key: str, value: bytes | None) -> None:
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -6,57 +6,15 @@
 import trio
 from hypothesis import given, settings, strategies as st
 
-from jacinthshed.internal.discovery.directory import Directory
-from jacinthshed.internal.discovery.publication import Sinks
-from jacinthshed.internal.platform.feeds import policy_feed, targets_feed
 from jacinthshed.internal.platform.store import StoreErrorKind, http_store_client
-from jacinthshed.internal.standin.store import serve_store
-from jacinthshed.internal.standin.store_state import StoreFaultMode, StoreState
+from jacinthshed.internal.standin.store_state import StoreFaultMode
 from tests.common.fleet import run_virtual
-from tests.common.http import memory_network
 from tests.common.machines import STORE, desired_state, entry_of, machines, request
+from tests.common.store_feeds import FeedRecorder, run_scenario
 
-PEER_PORT = 3
 WATCH_MS = 1_000
 
 
-def run_scenario(scenario, **options):
-    """Run ``scenario`` with the state of a fake store and a client of it."""
-
-    async def main():
-        state = StoreState(**options)
-        network = memory_network()
-        async with trio.open_nursery() as nursery:
-            await nursery.start(serve_store, state, network, STORE)
-            with trio.fail_after(120):
-                await scenario(
-                    state, http_store_client(address=STORE, connect=network.connect)
-                )
-            nursery.cancel_scope.cancel()
-
-    run_virtual(main)
-
-
-class FeedRecorder:
-    """The feeds of a store, and the documents and targets that they delivered."""
-
-    def __init__(self, store, *, starts_stale=False):
-        self.documents = []
-        self.directory = Directory()
-        sinks = Sinks(
-            take_bundle=self.documents.append,
-            take_hosts=lambda hosts: None,
-            replace_targets=self.directory.replace,
-            change_targets=self.directory.apply,
-        )
-        self.policy = policy_feed(store, sinks, starts_stale=starts_stale)
-        self.targets = targets_feed(store, sinks, PEER_PORT, starts_stale=starts_stale)
-
-    @property
-    def ids(self):
-        return {entry.target_id for entry in self.directory.entries()}
-
-
 def test_all_pages_of_a_range_are_read_and_later_changes_are_received():
     async def scenario(state, store):
         for number in range(10):
@@ -170,7 +128,7 @@
 
         store = http_store_client(address=STORE, connect=connect)
         found = (await store.read_prefix("k", False)).unwrap()
-        assert found == (9, (("k", 3, b"a"),))
+        assert found == (9, (("k", 3, b"a"),), 0)
 
     run_virtual(main)
 
