Hold back targets only at nodes that don't know of the restore yet

A node that began to read the store some time after a restore held back all changes of targets for two seconds, so that it went on sending requests to a target that had just said it was leaving.

Cause: the two seconds in which live targets list themselves again were counted from when a feed first saw the new generation. A feed that last read before the restore sees it when its node becomes a reader, though the node has had the restored targets from its peers for long.

The directory's own generation now decides: updates wait only where the reading is of a later generation than what the node holds.

--- a/src/jacinthshed/internal/node/target_updates.py
+++ b/src/jacinthshed/internal/node/target_updates.py
@@ -50,11 +50,13 @@
         self._log = log
         self._apply_at_ms = inf
         self._deferred: list[Callable[[], list[str]]] = []
+        self._deferred_generation = 0
         self._release_at_ms = inf
         self._wake = trio.Event()
 
     def replace(self, revision: int, changes: Sequence[EntryChange]) -> None:
         """Apply a complete list of targets as of ``revision``."""
+        self._defer_if_restored(revision)
         self._apply_or_defer(lambda: self._directory.replace(revision, changes))
 
     def change(self, revision: int, changes: Sequence[EntryChange]) -> None:
@@ -66,9 +68,17 @@
         if outage_ms >= EXPIRY_AFTER_MS:
             self._defer(outage_ms)
 
-    def source_restored(self) -> None:
-        """Defer updates for a while, as the source has lost its latest changes."""
-        self._defer(0.0)
+    def _defer_if_restored(self, revision: int) -> None:
+        """Defer updates for a while if the source has lost its latest changes.
+
+        Peers may have passed on the targets of the restored source already; this node
+        has then waited with them.
+        """
+        generation = from_ordinal(revision).generation
+        known_generation = from_ordinal(self._directory.revision).generation
+        if generation > max(known_generation, self._deferred_generation):
+            self._deferred_generation = generation
+            self._defer(0.0)
 
     def _defer(self, outage_ms: float) -> None:
         if not self._directory.revision:
@@ -132,10 +142,4 @@
     def take_bundle(document: bytes) -> None:
         holder.offer(document, "platform")
 
-    return Sinks(
-        take_bundle,
-        take_hosts,
-        updates.replace,
-        updates.change,
-        updates.source_restored,
-    )
+    return Sinks(take_bundle, take_hosts, updates.replace, updates.change)
--- a/tests/common/machines.py
+++ b/tests/common/machines.py
@@ -156,6 +156,10 @@
         finally:
             await pool.close()
 
+    def readers(self):
+        """Return the IP addresses of the nodes that watch the store."""
+        return {ip for ip, node in self.nodes.items() if node._reader.rank < 2}
+
     async def settle(self):
         """Wait until all nodes have read what was written to the store."""
         await trio.sleep(1)
--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -178,6 +178,27 @@
     run_virtual(main)
 
 
+def test_a_node_that_becomes_a_reader_after_a_restore_applies_changes_at_once():
+    async def main():
+        async with machines(SIX) as fleet:
+            readers = fleet.readers()
+            copy = fleet.store.copy()
+            write_entry(fleet, "10.0.0.3", slots=5)
+            await trio.sleep(2)
+            fleet.store.restore(copy)
+            await take_down(fleet, for_s=1)
+            await trio.sleep(6)
+            for ip in readers:
+                fleet.nodes[ip].leave()
+            await trio.sleep(1)
+            write_entry(fleet, "10.0.0.1", state="draining")
+            await trio.sleep(1.9)
+            for ip in set(SIX) - readers:
+                assert directory_of(fleet, ip).target_at("10.0.0.1:4").leaving
+
+    run_virtual(main)
+
+
 def test_a_node_logs_that_the_store_was_restored():
     async def scenario(state, store):
         state.put("op/config", desired_state())
