Reject a response head that contains another status line

Cause: bytes that a server sends after a complete response stay unread until the next response arrives on that connection. If they end in a status line or in the first fields of a late second answer, h11 reads both as one head: with the status of the late answer, and the id, seal and body of the next one. Why it works: a whole next answer begins with its status line, so whatever precedes it leaves that line at another place than the start of the head.

--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -17,7 +17,7 @@
     Response,
     without_hop_by_hop_fields,
 )
-from .response_head import ResponseHead, read_response_head
+from .response_head import ResponseHead, check_response_head, read_response_head
 from .write_head import request_head
 
 _RECEIVE_BYTES = 65_536
@@ -114,7 +114,9 @@
         self, protocol: h11.Connection, on_interim: InterimHandler | None
     ) -> h11.Response:
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
-            protocol.receive_data(await self._read_head())
+            head = await self._read_head()
+            check_response_head(head)
+            protocol.receive_data(head)
             event = _next_event(protocol)
             if type(event) is h11.Response:
                 return event
--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from .errors import BadResponseError
 from .message import (
     CONTENT_LENGTH,
     KEEP_ALIVE,
@@ -16,6 +17,7 @@
     without_hop_by_hop_fields,
 )
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _IDLE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 _MS_PER_S = 1_000.0
 _NO_BODY_STATUSES = (204, 304)
@@ -36,6 +38,17 @@
     idle_ms: float | None = None
 
 
+def check_response_head(head: bytes) -> None:
+    """Check that ``head``, up to its empty line, is that of one response.
+
+    The end of an earlier response that a server sends late, and in part, may precede
+    the next one without a line break. The two would be read as one response, with the
+    status of the first. Raises ``BadResponseError``.
+    """
+    if _STATUS_LINE.search(head, 1):
+        raise BadResponseError("the response head contains another one")
+
+
 def read_response_head(request: Request, event: h11.Response) -> ResponseHead:
     """Return the head of the response ``event`` to ``request``."""
     fields = tuple(event.headers)
