Reject a response head with bare line feeds

Cause: the client looks for CR LF CR LF as the end of the head, but h11 also takes LF LF. The part of the body between the two was dropped in h11's buffer, and as many bytes that belong to no answer were read in its place. Evidence: test_a_head_with_bare_line_feeds_does_not_cut_the_body got "cdHTTP/1" for "ab\\r\\n\\r\\ncd". Why it works: without a bare LF both look for the same end.

--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -47,6 +47,9 @@
     """
     if _STATUS_LINE.search(head, 1):
         raise BadResponseError("the response head contains another one")
+    # h11 takes an empty line that ends with a bare LF for the end of the head.
+    if head.count(b"\n") != head.count(b"\r\n"):
+        raise BadResponseError("the response head has lines that end without CR LF")
 
 
 def read_response_head(request: Request, event: h11.Response) -> ResponseHead:
