Take an answer without an id only as the first on its connection

Cause: a refusal (Not-Executed) without an id was accepted on any connection. A late copy of one told the caller of the next request on that connection that its request had not run, while it ran; a request that must not run twice would then be sent again. Why it works: on a connection that carried no other request, and on which nothing else has arrived, there is no earlier answer to confuse it with. Elsewhere the exchange fails without any statement on whether it ran, and the connection is closed. The matcher of an answer is now data and not a function that returns true or false, since there are three cases.

The server of the tests now chooses its turn by the request's id and not by order: a connection that it ends may take a request with it. The test of stray answers gives the same id and field to the new matcher.

--- a/src/jacinthshed/internal/adapters/http_adapter.py
+++ b/src/jacinthshed/internal/adapters/http_adapter.py
@@ -9,7 +9,7 @@
 from ..flow.call_reader import Arrival, ParsedCall
 from ..flow.policy import Policy
 from ..flow.steps import CallEnd
-from ..http.exchange import ResponseMatcher
+from ..http.matching import ResponseMatcher
 from ..http.message import Headers, Request, Response
 from ..verdict import Refusal
 from ..wire.frames import Reply, Submit
@@ -28,9 +28,8 @@
       with that id.
     - ``backend_request`` builds the request to the backend server from a ``Submit``
       frame and the time left, in milliseconds.
-    - ``accepts`` returns a predicate that is true if a response's headers match the
-      request of this frame, and false for a stray response; or ``None`` to accept
-      every response.
+    - ``matcher`` returns what identifies the response to the request of this frame, or
+      ``None`` to accept every response.
     - ``check_answer`` returns the refusal that an answer amounts to, or ``None`` to
       forward it.
     - ``is_failed`` returns whether another target may give a better answer.
@@ -43,6 +42,6 @@
     refusal_response: Callable[[str, Refusal], Response]
     call_response: Callable[[str, CallEnd], Response]
     backend_request: Callable[[Submit, float], Request]
-    accepts: Callable[[Submit], ResponseMatcher | None]
+    matcher: Callable[[Submit], ResponseMatcher | None]
     check_answer: AnswerCheck
     is_failed: Callable[[Reply], bool]
--- a/src/jacinthshed/internal/adapters/native.py
+++ b/src/jacinthshed/internal/adapters/native.py
@@ -27,7 +27,7 @@
         refusal_response=_refusal_response,
         call_response=_call_response,
         backend_request=_backend_request,
-        accepts=lambda submit: None,
+        matcher=lambda submit: None,
         check_answer=refusal_from_answer,
         is_failed=lambda reply: False,
     )
--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -6,7 +6,8 @@
 import trio
 
 from .errors import BadResponseError
-from .exchange import ClientConnection, ResponseMatcher
+from .exchange import ClientConnection
+from .matching import ResponseMatcher
 from .message import InterimHandler, Request
 from .network import Connect
 from .outcome import ExchangeFailed, Outcome
@@ -50,13 +51,13 @@
         timeout_ms: float,
         max_body_bytes: int,
         on_interim: InterimHandler | None = None,
-        accepts: ResponseMatcher | None = None,
+        matcher: ResponseMatcher | None = None,
         scope: trio.CancelScope | None = None,
     ) -> Outcome:
         """Send ``request`` at most once and return the outcome.
 
-        ``on_interim`` is called with each interim response. ``accepts`` returns
-        whether a response answers this request and not an earlier one.
+        ``on_interim`` is called with each interim response. ``matcher`` tells the
+        response to this request from those to earlier ones.
         ``timeout_ms`` includes the wait for a free connection. When this call or
         ``scope`` is cancelled, the connection is closed, which cancels the request at
         the server; a cancelled ``scope`` counts as a timeout.
@@ -66,7 +67,7 @@
         scope.deadline = trio.current_time() + timeout_ms / _MS_PER_S
         with scope:
             return await self._attempt(
-                attempt, request, max_body_bytes, on_interim, accepts
+                attempt, request, max_body_bytes, on_interim, matcher
             )
         return ExchangeFailed(attempt.sent, "timeout", timed_out=True)
 
@@ -86,13 +87,13 @@
         request: Request,
         max_body_bytes: int,
         on_interim: InterimHandler | None,
-        accepts: ResponseMatcher | None,
+        matcher: ResponseMatcher | None,
     ) -> Outcome:
         await self._acquire_slot(attempt)
         try:
             attempt.connection = await self._get_connection()
             return await self._exchange(
-                attempt.connection, request, max_body_bytes, on_interim, accepts
+                attempt.connection, request, max_body_bytes, on_interim, matcher
             )
         except _ConnectError as error:
             return ExchangeFailed(False, str(error))
@@ -112,14 +113,14 @@
         request: Request,
         max_body_bytes: int,
         on_interim: InterimHandler | None,
-        accepts: ResponseMatcher | None,
+        matcher: ResponseMatcher | None,
     ) -> Outcome:
         try:
             return await connection.exchange(
                 request,
                 max_body_bytes=max_body_bytes,
                 on_interim=on_interim,
-                accepts=accepts,
+                matcher=matcher,
             )
         except BadResponseError as error:
             return ExchangeFailed(connection.sent, str(error))
--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -1,17 +1,16 @@
 """A client connection and the exchange of one request and response on it."""
 
 import functools
-from collections.abc import Callable
 
 import h11
 import trio
 
 from .errors import BadResponseError
 from .head import HEAD_END
+from .matching import Match, ResponseMatcher
 from .message import (
     CONTENT_LENGTH,
     HOST,
-    Headers,
     InterimHandler,
     Request,
     Response,
@@ -29,10 +28,6 @@
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
-ResponseMatcher = Callable[[Headers], bool]
-"""Returns whether a response with these header fields answers the request."""
-
-
 class ClientConnection:
     """A connection that carries one exchange at a time.
 
@@ -48,6 +43,7 @@
         self.reusable = True
         self.idle_since_s = 0.0
         self.idle_limit_ms: float | None = None
+        self._is_new = True
         self._received = bytearray()
 
     async def exchange(
@@ -56,39 +52,39 @@
         *,
         max_body_bytes: int,
         on_interim: InterimHandler | None = None,
-        accepts: ResponseMatcher | None = None,
+        matcher: ResponseMatcher | None = None,
     ) -> Response:
         """Send ``request`` and return the complete response.
 
-        Responses for which ``accepts`` returns false belong to earlier requests: they
-        are dropped, and the connection is not reused. Raises ``BadResponseError``,
-        ``h11.LocalProtocolError`` when the request can't be encoded, and trio's errors
-        of a broken stream.
+        Responses that do not match belong to earlier requests: they are dropped. One
+        that can't be matched is returned only if no other request was sent on this
+        connection. In both cases the connection is not reused. Raises
+        ``BadResponseError``, ``h11.LocalProtocolError`` when the request can't be
+        encoded, and trio's errors of a broken stream.
         """
         self.sent = False
         self.reusable = False
-        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
-        data = _encode(request, protocol)
+        protocol, data = _encode(request)
         self.sent = True
+        is_new, self._is_new = self._is_new, False
         await self.stream.send_all(data)
-        response, keeps_open = await self._read_response(
-            request, protocol, max_body_bytes, on_interim
-        )
-        mismatched = 0
-        while accepts is not None and not accepts(response.headers):
-            mismatched += 1
-            if mismatched > _MAX_MISMATCHED_RESPONSES or not keeps_open:
-                raise BadResponseError("the response does not match the request")
-            protocol = h11.Connection(
-                h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-            )
-            _encode(request, protocol)
+        for mismatched in range(_MAX_MISMATCHED_RESPONSES + 1):
             response, keeps_open = await self._read_response(
                 request, protocol, max_body_bytes, on_interim
             )
-        # Set last: an exchange that ends early may leave unread bytes.
-        self.reusable = keeps_open and not self._received and not mismatched
-        return response
+            match = matcher.match(response.headers) if matcher else Match.OWN
+            if match is Match.OWN:
+                # Set last: an exchange that ends early may leave unread bytes.
+                self.reusable = keeps_open and not self._received and not mismatched
+                return response
+            if match is Match.UNKNOWN:
+                if is_new and not mismatched:
+                    return response
+                raise BadResponseError("the response may be to an earlier request")
+            if not keeps_open:
+                break
+            protocol = _protocol_for(request.method)
+        raise BadResponseError("the response does not match the request")
 
     async def _read_response(
         self,
@@ -194,14 +190,20 @@
         return consumed
 
 
-def _encode(request: Request, protocol: h11.Connection) -> bytes:
+def _encode(request: Request) -> tuple[h11.Connection, bytes]:
+    """Return ``request`` as bytes, and the connection that parses its response."""
     headers = list(request.headers)
     if request.body or request.method in _METHODS_WITH_BODY:
         headers.append((CONTENT_LENGTH, str(len(request.body)).encode()))
     head = request_head(request.method, request.target, headers)
+    return _protocol_for(request.method), head + request.body
+
+
+def _protocol_for(method: bytes) -> h11.Connection:
+    protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
     # h11 needs the method of the request to parse the response.
-    protocol.send(_request_event(request.method))
-    return head + request.body
+    protocol.send(_request_event(method))
+    return protocol
 
 
 @functools.lru_cache(maxsize=32)
--- /dev/null
+++ b/src/jacinthshed/internal/http/matching.py
@@ -0,0 +1,35 @@
+"""Matches the responses on a reused connection to the requests sent on it."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import NamedTuple
+
+from .message import Headers, header
+
+
+class Match(Enum):
+    """What the header fields of a response say about the request it answers."""
+
+    OWN = auto()
+    OTHER = auto()
+    UNKNOWN = auto()
+
+
+class ResponseMatcher(NamedTuple):
+    """Identifies the response to one request.
+
+    A server echoes ``request_id`` in ``field``. ``may_lack_id`` returns whether a
+    response without that field may answer the request, if nothing else can be on the
+    connection.
+    """
+
+    request_id: bytes
+    field: bytes
+    may_lack_id: Callable[[Headers], bool]
+
+    def match(self, headers: Headers) -> Match:
+        """Return whether a response with these ``headers`` answers the request."""
+        echoed = header(headers, self.field)
+        if echoed is None:
+            return Match.UNKNOWN if self.may_lack_id(headers) else Match.OTHER
+        return Match.OWN if echoed == self.request_id else Match.OTHER
--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -128,7 +128,7 @@
             timeout_ms = max(timeout_ms, self._fence_left_ms(dispatch.submit.fence))
         return await self._pool.request(
             self._adapter.backend_request(dispatch.submit, dispatch.timeout_ms),
-            accepts=self._adapter.accepts(dispatch.submit),
+            matcher=self._adapter.matcher(dispatch.submit),
             timeout_ms=timeout_ms,
             max_body_bytes=self._sizes().answer_bytes,
             scope=scope,
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -13,7 +13,7 @@
 from ..flow.call_reader import HOST_HEADER, Arrival, ParsedCall
 from ..flow.policy import Policy
 from ..flow.steps import CallEnd
-from ..http.exchange import ResponseMatcher
+from ..http.matching import ResponseMatcher
 from ..http.message import PROBLEM_JSON, Header, Headers, Request, Response, header
 from ..http.problem import problem_body
 from ..verdict import Reason, Refusal, Verdict
@@ -61,7 +61,7 @@
         refusal_response=_refusal_response,
         call_response=_call_response,
         backend_request=_backend_request,
-        accepts=_accepts,
+        matcher=_matcher,
         check_answer=_check_answer,
         is_failed=lambda reply: reply.status >= _FAILURE_STATUS,
     )
@@ -195,15 +195,11 @@
     return Request(submit.method, submit.target, headers, submit.body)
 
 
-def _accepts(submit: Submit) -> ResponseMatcher:
+def _matcher(submit: Submit) -> ResponseMatcher:
     own_id = header(submit.headers, ATTEMPT_ID)
-
-    def accepts(headers: Headers) -> bool:
-        echoed = header(headers, ATTEMPT_ID)
-        # A target that refuses a request before reading its id answers without one.
-        return echoed == own_id or (echoed is None and _is_not_executed(headers))
-
-    return accepts
+    assert own_id is not None
+    # A target that refuses a request before reading its id answers without one.
+    return ResponseMatcher(own_id, ATTEMPT_ID, may_lack_id=_is_not_executed)
 
 
 def _is_not_executed(headers: Headers) -> bool:
--- a/tests/common/stuttering_server.py
+++ b/tests/common/stuttering_server.py
@@ -1,5 +1,7 @@
 """A backend server that answers as told, and sends more than it was asked for."""
 
+import re
+from collections import defaultdict
 from enum import Enum
 from typing import NamedTuple
 
@@ -15,6 +17,8 @@
 GAP_S = 0.01
 TIMEOUT_MS = 1_000
 
+_OWN_ID = re.compile(rb"attempt-id: (\S+)")
+
 
 class End(Enum):
     """What happens to the connection after an answer."""
@@ -77,11 +81,16 @@
 
 
 class StutteringServer:
-    """Serves one turn for each request; ``connections`` counts those opened."""
+    """Serves one turn for each request; ``connections`` counts those opened.
+
+    ``turns`` holds pairs of a request's id and its turn.
+    """
 
     def __init__(self, turns, nursery):
         self.connections = 0
-        self._turns = iter(turns)
+        self._turns = defaultdict(list)
+        for own_id, turn in turns:
+            self._turns[own_id].append(turn)
         self._nursery = nursery
 
     async def connect(self, address):
@@ -95,8 +104,8 @@
     async def _serve(self, stream, client):
         late = b""
         try:
-            while await _receive_request(stream):
-                turn = next(self._turns)
+            while own_id := await _receive_request(stream):
+                turn = self._turns[own_id].pop(0)
                 if late:
                     await stream.send_all(late)
                     await trio.sleep(GAP_S)
@@ -116,13 +125,14 @@
 
 
 async def _receive_request(stream):
+    """Return the id of the next request, or ``None`` at the end of the stream."""
     received = b""
     while not received.endswith(b"\r\n\r\n"):
         data = await stream.receive_some()
         if not data:
-            return False
+            return None
         received += data
-    return True
+    return _OWN_ID.search(received)[1]
 
 
 def submit_of(own_id, method=b"GET"):
@@ -152,13 +162,16 @@
 def outcomes_of(turns, requests, adapter=None):
     """Send ``requests``, pairs of id and method, one after another through a pool.
 
-    Return their outcomes and the number of connections.
+    The server has one turn for each. Return their outcomes and how many connections
+    were opened.
     """
     adapter = adapter or platform_http_adapter("a")
 
     async def main():
         async with trio.open_nursery() as nursery:
-            server = StutteringServer(turns, nursery)
+            ids = [own_id for own_id, _ in requests]
+            pairs = zip(ids, turns, strict=True)
+            server = StutteringServer(pairs, nursery)
             pool = BackendPool(connect=server.connect, address="x", max_connections=1)
             outcomes = []
             for own_id, method in requests:
@@ -168,7 +181,7 @@
                         Request(method, b"/", submit.headers),
                         timeout_ms=TIMEOUT_MS,
                         max_body_bytes=10_000,
-                        accepts=adapter.accepts(submit),
+                        matcher=adapter.matcher(submit),
                     )
                 )
             nursery.cancel_scope.cancel()
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -26,7 +26,7 @@
 
 def second_outcome(late, own, requests=TWO):
     """Return the outcome of a request before whose answer ``late`` arrives."""
-    turns = [Turn((answer(b"id-0", b"zero"),), late=late), Turn((own,)), Turn((own,))]
+    turns = [Turn((answer(b"id-0", b"zero"),), late=late), Turn((own,))]
     (first, second), _ = outcomes_of(turns, requests)
     assert is_own(first, 200, b"zero")
     return second
@@ -100,7 +100,7 @@
     for with_answer in (False, True):
         turns = [
             Turn((head,), late=rest, late_with_answer=with_answer),
-            *[Turn((answer(b"id-1", b"one"),))] * 2,
+            Turn((answer(b"id-1", b"one"),)),
         ]
         (first, second), _ = outcomes_of(turns, ((b"id-0", method), TWO[1]))
         assert (first.status, first.body) == (status, b"")
--- a/tests/cover/test_http_stray_answers.py
+++ b/tests/cover/test_http_stray_answers.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from jacinthshed.internal.http.client import BackendPool
+from jacinthshed.internal.http.matching import ResponseMatcher
 from jacinthshed.internal.http.message import Request, header
 from jacinthshed.internal.http.network import tcp_network
 from jacinthshed.internal.http.outcome import ExchangeFailed
@@ -53,9 +54,7 @@
                         Request(b"GET", b"/", ((b"host", b"x"),)),
                         timeout_ms=1_000,
                         max_body_bytes=100,
-                        accepts=lambda headers, own=own_id: (
-                            header(headers, b"id") == own
-                        ),
+                        matcher=ResponseMatcher(own_id, b"id", lambda headers: False),
                     )
                 )
                 await trio.sleep(pause_s)
