Match an answer by all of its ids

Cause: of two id fields the first was compared. Such a head is made of two answers, or by a server that mixed them up, so that the body may be of either. Evidence: test_an_answer_with_two_ids_answers_neither_request. Why it works: an answer is accepted only if each id field is the request's.

--- a/src/jacinthshed/internal/http/matching.py
+++ b/src/jacinthshed/internal/http/matching.py
@@ -4,7 +4,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from .message import Headers, header
+from .message import Headers
 
 
 class Match(Enum):
@@ -29,7 +29,8 @@
 
     def match(self, headers: Headers) -> Match:
         """Return whether a response with these ``headers`` answers the request."""
-        echoed = header(headers, self.field)
-        if echoed is None:
+        echoed = [value for name, value in headers if name == self.field]
+        if not echoed:
             return Match.UNKNOWN if self.may_lack_id(headers) else Match.OTHER
-        return Match.OWN if echoed == self.request_id else Match.OTHER
+        is_own = all(value == self.request_id for value in echoed)
+        return Match.OWN if is_own else Match.OTHER
