Send no request over a connection that has carried its id

Cause: a call of a request that runs again may have the id that it had the first time, and reach the same target on the same connection. A second answer to the first, sent late, then matches: a success where the target fails the second run, or a refusal for a request that is running. Why it works: a late answer comes on the connection of its request. That connection is closed now instead of being used for the same id. The last 64 ids of a connection are remembered; a late answer that arrives meanwhile is noticed by the exchanges between, which close the connection.

--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -91,7 +91,7 @@
     ) -> Outcome:
         await self._acquire_slot(attempt)
         try:
-            attempt.connection = await self._get_connection()
+            attempt.connection = await self._get_connection(matcher)
             return await self._exchange(
                 attempt.connection, request, max_body_bytes, on_interim, matcher
             )
@@ -133,16 +133,22 @@
         finally:
             await self._release_connection(connection)
 
-    async def _get_connection(self) -> ClientConnection:
+    async def _get_connection(
+        self, matcher: ResponseMatcher | None
+    ) -> ClientConnection:
         await self._close_expired()
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if self._is_usable(connection):
+            if self._is_usable(connection, matcher):
                 return connection
             await trio.aclose_forcefully(connection.stream)
         return await self._open_connection()
 
-    def _is_usable(self, connection: ClientConnection) -> bool:
+    def _is_usable(
+        self, connection: ClientConnection, matcher: ResponseMatcher | None
+    ) -> bool:
+        if matcher is not None and connection.has_carried(matcher.request_id):
+            return False
         limit_ms = connection.idle_limit_ms
         if limit_ms is not None:
             idle_ms = (trio.current_time() - connection.idle_since_s) * _MS_PER_S
--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -1,6 +1,7 @@
 """A client connection and the exchange of one request and response on it."""
 
 import functools
+from collections import deque
 
 import h11
 import trio
@@ -25,6 +26,8 @@
 _MAX_MISMATCHED_RESPONSES = 3
 # A server may report progress, but not keep an exchange busy with interim responses.
 _MAX_INTERIM_RESPONSES = 100
+# As many ids of earlier requests are remembered for each connection.
+_REMEMBERED_IDS = 64
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
@@ -44,6 +47,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_ms: float | None = None
         self._is_new = True
+        self._carried_ids: deque[bytes] = deque(maxlen=_REMEMBERED_IDS)
         self._received = bytearray()
 
     async def exchange(
@@ -67,6 +71,8 @@
         protocol, data = _encode(request)
         self.sent = True
         is_new, self._is_new = self._is_new, False
+        if matcher is not None:
+            self._carried_ids.append(matcher.request_id)
         await self.stream.send_all(data)
         for mismatched in range(_MAX_MISMATCHED_RESPONSES + 1):
             response, keeps_open = await self._read_response(
@@ -106,6 +112,13 @@
         socket = getattr(self.stream, "socket", None)
         return socket is not None and socket.is_readable()
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with that id was sent here not long ago.
+
+        A late second answer to it would match a further request with the same id.
+        """
+        return request_id in self._carried_ids
+
     async def _read_final_head(
         self, protocol: h11.Connection, on_interim: InterimHandler | None
     ) -> h11.Response:
