Send no response after an interim one that was cut

Cause: the sending of an interim response can be cancelled, at the deadline of the request, while the client reads nothing. The final response was sent all the same, so that the client read it as the rest of the interim one. Evidence: test_no_answer_follows_an_interim_response_that_was_cut. Why it works: once a part of a message may have been sent, nothing but its rest can follow, so the connection is closed.

--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -72,6 +72,7 @@
         self._limits = limits
         self._drain = drain
         self._cancel_on_disconnect = cancel_on_disconnect
+        self._is_interim_cut = False
         self._scope = trio.CancelScope()
         self._timer = current_timer_scheduler().add(self._scope.cancel)
         self._reader = RequestReader(
@@ -123,6 +124,9 @@
         response = await self._handle(incoming)
         if self._cancel_on_disconnect:
             await self.watch.stop()
+        if self._is_interim_cut:
+            # The client would read the response as the rest of the interim one.
+            return False
         closes = self._drain.started
         try:
             data = encode_response(incoming, response, closes)
@@ -137,7 +141,10 @@
     async def _handle(self, incoming: IncomingRequest) -> Response:
         async def send_interim(interim: Response) -> None:
             if incoming.connection.their_http_version == b"1.1":
-                await self._stream.send_all(encode_interim(incoming, interim))
+                data = encode_interim(incoming, interim)
+                self._is_interim_cut = True
+                await self._stream.send_all(data)
+                self._is_interim_cut = False
 
         try:
             return await self._handler(incoming.request, send_interim)
