Join a running request only with a copy of it

Cause: an attempt whose id is that of a running one joined it by the id alone and got its answer, also if method, path or body were others. An entry node refuses a second request with a running id, but two nodes don't know of each other's. Evidence: test_two_requests_with_one_id_do_not_share_an_answer. Why it works: the target compares the fingerprints of the two and refuses another request, unrun, in the words of the entry node. Copies still share one run (test_copies_of_a_request_with_one_id_share_one_run).

--- a/src/jacinthshed/internal/flow/fenced_copy.py
+++ b/src/jacinthshed/internal/flow/copies.py
@@ -1,4 +1,4 @@
-"""Handling of further copies of a fenced request at its target."""
+"""Handling of further copies of a request at its target."""
 
 from ..fence.decisions import Accepted, Answered, Join
 from ..fence.instant import Instant
@@ -6,10 +6,16 @@
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Submit
 from .actions import Send, TargetAction
-from .job import Waiter
+from .job import Job, Waiter
 from .job_table import JobTable, add_waiter
 from .replies import refusal_reply, reply_to_waiter
 
+DUPLICATE_ID = Refusal(
+    Verdict.NOT_RUN,
+    Reason.MALFORMED,
+    detail="a request with this id is in progress; give each attempt an id of its own",
+)
+
 _JOB_IS_GONE = Refusal(
     Verdict.MAY_HAVE_RUN,
     Reason.BACKEND_FAILED,
@@ -18,6 +24,19 @@
 )
 
 
+def join_by_id(
+    known: Job, link: int, submit: Submit, crash_fingerprint: int
+) -> list[TargetAction]:
+    """Let ``submit`` wait for the reply to ``known``, which has the same request id.
+
+    Another request with that id is refused: the answer belongs to ``known`` only.
+    """
+    if crash_fingerprint != known.fingerprint:
+        return [_refusal_to(link, submit, DUPLICATE_ID)]
+    add_waiter(known, link, submit)
+    return []
+
+
 def handle_copy(
     fence_registry: FenceRegistry,
     jobs: JobTable,
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -13,10 +13,10 @@
 from .actions import Abort, Dispatch, Send, TargetAction
 from .backend_outcome import AnswerCheck, BackendResult, admission_outcome
 from .context import parent_context
+from .copies import handle_copy, join_by_id
 from .exchange_result import record_result
-from .fenced_copy import handle_copy
 from .job import Job, Waiter
-from .job_table import JobTable, add_waiter
+from .job_table import JobTable
 from .replies import refusal_reply, reply_to_waiter
 from .request_fingerprint import request_fingerprint
 from .target_log import TargetLog
@@ -71,10 +71,9 @@
 
     def submit(self, at: Instant, link: int, submit: Submit) -> list[TargetAction]:
         """Process an attempt that arrived on ``link``."""
-        if known := self._jobs.by_request(submit.request_id):
-            add_waiter(known, link, submit)
-            return []
         fingerprint = request_fingerprint(submit)
+        if known := self._jobs.by_request(submit.request_id):
+            return join_by_id(known, link, submit, fingerprint)
         if submit.fence:
             # The registry is checked first: a copy of a running request has to join it
             # even while new work is refused.
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -19,6 +19,7 @@
 )
 from ..flow.choose import choose_flow
 from ..flow.context import ContextRegistry, ParentContext
+from ..flow.copies import DUPLICATE_ID
 from ..flow.nested_time import NestedTime
 from ..flow.observed_calls import ObservedCalls
 from ..flow.policy import Policy
@@ -43,12 +44,6 @@
 LEAVING_RETRY_AFTER_MS = 100
 NO_BUNDLE_RETRY_AFTER_MS = 1_000
 
-_DUPLICATE_ID = Refusal(
-    Verdict.NOT_RUN,
-    Reason.MALFORMED,
-    detail="a request with this id is in progress; give each attempt an id of its own",
-)
-
 
 class RequestOutcome(NamedTuple):
     """The reply or refusal that ended a request, and how long it took."""
@@ -154,7 +149,7 @@
             return self._refuse(request, request_id, parsed.failure())
         if request_id in self._active_ids:
             # The answer to one could be delivered to the other.
-            return self._refuse(request, request_id, _DUPLICATE_ID)
+            return self._refuse(request, request_id, DUPLICATE_ID)
         self._active_ids.add(request_id)
         try:
             sender = self._build_sender(request, parsed.unwrap().call, interim)
