Pass on no success with a Content-Encoding on the platform

Cause: the platform's callers ask for no encoding and do not take an encoded answer for the target's body, but such a success was forwarded as one. No target was seen to send one; the platform's interface rules it out. Why it works: it counts as a failure of the target, as one without a receipt.

--- a/src/jacinthshed/internal/platform/headers.py
+++ b/src/jacinthshed/internal/platform/headers.py
@@ -13,3 +13,4 @@
 RETRY_AFTER = b"retry-after"
 # Service of the backend server beside the node where the request entered.
 CALLER_SERVICE = b"caller-service"
+CONTENT_ENCODING = b"content-encoding"
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -21,6 +21,7 @@
 from .headers import (
     ATTEMPT_ID,
     CALLER_SERVICE,
+    CONTENT_ENCODING,
     DEADLINE_MS,
     NOT_EXECUTED,
     PIN_INSTANCE,
@@ -214,6 +215,9 @@
     is_success = 200 <= answer.status < 300
     if is_success and header(answer.headers, RESPONSE_SEAL) is None:
         return _backend_failed("the target's answer lacks the Response-Seal header")
+    if is_success and header(answer.headers, CONTENT_ENCODING) is not None:
+        # Clients ask for no encoding and take encoded bytes for another body.
+        return _backend_failed("the target's answer has a Content-Encoding header")
     if answer.status in _NOT_RUN_STATUSES:
         return _backend_failed(
             f"the target answered {answer.status} without the Not-Executed header"
