Show that a response with Connection: close leaves the connection open

Red: test_a_connection_ends_with_the_response_that_announces_it. The connection ends after the idle limit of 60 s, and a pipelined request is served meanwhile. Also two green tests over TCP, of a late answer that waits on an idle connection and of an answer that ends with its connection.

--- a/tests/cover/test_answer_delivery.py
+++ b/tests/cover/test_answer_delivery.py
@@ -195,6 +195,38 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    ],
+)
+def test_a_connection_ends_with_the_response_that_announces_it(head):
+    handled = []
+
+    async def handle(request_, interim):
+        handled.append(request_.target)
+        return Response(200, body=b"whole")
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+
+        async def serve():
+            await serve_connection(server, handle, limits=HttpLimits(), drain=Drain())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            await client.send_all(head * 2)
+            received = await receive_all(client)
+        assert received.count(b"HTTP/1.1 200") == 1
+        assert received.endswith(b"whole")
+        assert trio.current_time() < 1
+
+    run_virtual(main)
+    assert handled == [b"/"]
+
+
 class HalfSendingStream(trio.abc.Stream):
     """Sends half of the first message, and blocks; sends the others whole."""
 
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -3,12 +3,26 @@
 The servers here answer twice, too late, in part, or with bytes that are no answer.
 """
 
+import socket
+import struct
+from contextlib import suppress
+
 import pytest
+import trio
 from hypothesis import given, settings, strategies as st
 
-from jacinthshed.internal.http.message import Response, header
+from jacinthshed.internal.http.client import BackendPool
+from jacinthshed.internal.http.message import Request, Response, header
+from jacinthshed.internal.http.network import tcp_network
 from jacinthshed.internal.http.outcome import ExchangeFailed
-from tests.common.stuttering_server import End, Turn, answer, outcomes_of
+from jacinthshed.internal.platform.http_adapter import platform_http_adapter
+from tests.common.stuttering_server import (
+    End,
+    Turn,
+    answer,
+    outcomes_of,
+    submit_of,
+)
 
 NOT_EXECUTED = b"Not-Executed: 1\r\n"
 TWO = ((b"id-0", b"GET"), (b"id-1", b"GET"))
@@ -107,6 +121,76 @@
         assert isinstance(second, ExchangeFailed) or is_own(second, 200, b"one")
 
 
+def outcomes_over_tcp(serve):
+    """Return the outcomes of two requests, with a pause, to a server on a socket."""
+
+    async def main():
+        network = tcp_network()
+        outcomes = []
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(network.listen, "127.0.0.1:0", serve)
+            pool = BackendPool(
+                connect=network.connect, address=address, max_connections=1
+            )
+            for own_id, method in TWO:
+                submit = submit_of(own_id, method)
+                outcomes.append(
+                    await pool.request(
+                        Request(method, b"/", submit.headers),
+                        timeout_ms=5_000,
+                        max_body_bytes=1_000,
+                        matcher=platform_http_adapter("a").matcher(submit),
+                    )
+                )
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return outcomes
+
+    return trio.run(main)
+
+
+def test_a_connection_on_which_a_late_answer_waits_is_not_used():
+    connections = 0
+
+    async def serve(stream):
+        nonlocal connections
+        own_id = TWO[connections][0]
+        connections += 1
+        # The client closes the first connection with unread bytes, which resets it.
+        with suppress(trio.BrokenResourceError):
+            async with stream:
+                while await stream.receive_some():
+                    await stream.send_all(answer(own_id, own_id))
+                    await trio.sleep(0.02)
+                    await stream.send_all(answer(own_id, own_id))
+
+    first, second = outcomes_over_tcp(serve)
+    assert is_own(first, 200, b"id-0")
+    assert is_own(second, 200, b"id-1")
+    assert connections == 2
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_an_answer_that_ends_with_its_connection_is_whole_unless_that_is_reset(
+    is_reset,
+):
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some()
+            await stream.send_all(answer(b"id-0", b"zero", framing="until close"))
+            await trio.sleep(0.02)
+            if is_reset:
+                no_lingering = struct.pack("ii", 1, 0)
+                stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, no_lingering
+                )
+
+    first = outcomes_over_tcp(serve)[0]
+    assert (
+        isinstance(first, ExchangeFailed) if is_reset else is_own(first, 200, b"zero")
+    )
+
+
 class Planned:
     """Draws the turns for some requests, and what each may be answered with."""
 
