Show that a plain backend server's second answer is taken for the next

Red in test_answer_matching.py, with the native adapter: a second answer that arrives before that to the next request is returned in its place, also if the server says which request it answers.

--- a/tests/common/stuttering_server.py
+++ b/tests/common/stuttering_server.py
@@ -9,7 +9,6 @@
 import trio.testing
 
 from jacinthshed.internal.http.client import BackendPool
-from jacinthshed.internal.http.message import Request
 from jacinthshed.internal.platform.http_adapter import platform_http_adapter
 from jacinthshed.internal.wire.frames import Submit
 from tests.common.fleet import run_virtual
@@ -178,7 +177,7 @@
                 submit = submit_of(own_id, method)
                 outcomes.append(
                     await pool.request(
-                        Request(method, b"/", submit.headers),
+                        adapter.backend_request(submit, TIMEOUT_MS),
                         timeout_ms=TIMEOUT_MS,
                         max_body_bytes=10_000,
                         matcher=adapter.matcher(submit),
