Use a backend connection again only if the answer names its request

Cause: answers of plain backend servers were not matched at all, so that a second answer which arrived before that to the next request was returned in its place. Why it works: the node sends Jacinthshed-Context, which is different for each attempt. A server that copies it to its answers is matched as on the platform. Of one that does not, only the first answer on a connection is taken, and the connection is closed: no earlier request is on it. The stand-ins copy it, and docs/interface.md asks servers to.

--- a/src/jacinthshed/internal/adapters/http_adapter.py
+++ b/src/jacinthshed/internal/adapters/http_adapter.py
@@ -28,8 +28,7 @@
       with that id.
     - ``backend_request`` builds the request to the backend server from a ``Submit``
       frame and the time left, in milliseconds.
-    - ``matcher`` returns what identifies the response to the request of this frame, or
-      ``None`` to accept every response.
+    - ``matcher`` returns what identifies the response to the request of this frame.
     - ``check_answer`` returns the refusal that an answer amounts to, or ``None`` to
       forward it.
     - ``is_failed`` returns whether another target may give a better answer.
@@ -42,6 +41,6 @@
     refusal_response: Callable[[str, Refusal], Response]
     call_response: Callable[[str, CallEnd], Response]
     backend_request: Callable[[Submit, float], Request]
-    matcher: Callable[[Submit], ResponseMatcher | None]
+    matcher: Callable[[Submit], ResponseMatcher]
     check_answer: AnswerCheck
     is_failed: Callable[[Reply], bool]
--- a/src/jacinthshed/internal/adapters/native.py
+++ b/src/jacinthshed/internal/adapters/native.py
@@ -10,6 +10,7 @@
     refusal_before_send,
 )
 from ..flow.steps import CallEnd
+from ..http.matching import ResponseMatcher
 from ..http.message import Header, Headers, Request, Response
 from ..http.problem import REQUEST_FIELD, VERDICT_FIELD, refusal_response
 from ..verdict import Refusal, Verdict
@@ -27,7 +28,7 @@
         refusal_response=_refusal_response,
         call_response=_call_response,
         backend_request=_backend_request,
-        matcher=lambda submit: None,
+        matcher=_matcher,
         check_answer=refusal_from_answer,
         is_failed=lambda reply: False,
     )
@@ -69,3 +70,9 @@
         (DEADLINE_HEADER, str(int(deadline_ms)).encode()),
     )
     return Request(submit.method, submit.target, headers, submit.body)
+
+
+def _matcher(submit: Submit) -> ResponseMatcher:
+    # A server need not echo the header. Its connections are then used only once.
+    own_id = submit.request_id.encode()
+    return ResponseMatcher(own_id, CONTEXT_HEADER, may_lack_id=lambda headers: True)
--- a/src/jacinthshed/internal/standin/backend.py
+++ b/src/jacinthshed/internal/standin/backend.py
@@ -21,7 +21,7 @@
 from ..http.server import InterimHandler, RequestHandler, serve_connection
 from .backend_options import BackendOptions
 from .backend_state import BackendState, ShedAnswer
-from .backend_work import SendNested, run_request
+from .backend_work import CONTEXT_FIELD, SendNested, run_request
 from .program import run_until_signal
 
 CRASH_FIELD = b"x-crash"
@@ -86,7 +86,13 @@
             return _handle_admin(state, request)
         if header(request.headers, CRASH_FIELD) or CRASH_MARK in request.body:
             crash()
-        return await run_request(state, request, send_nested, rng)
+        response = await run_request(state, request, send_nested, rng)
+        context = header(request.headers, CONTEXT_FIELD)
+        if context is None:
+            return response
+        # Lets the node use this connection again.
+        headers = (*response.headers, (CONTEXT_FIELD, context))
+        return response._replace(headers=headers)
 
     return handle
 
--- a/tests/cover/test_standin.py
+++ b/tests/cover/test_standin.py
@@ -155,3 +155,13 @@
             nursery.cancel_scope.cancel()
 
     run_backend(main, slots=2, service_ms=60_000, health_lag_ms=2_000)
+
+
+def test_a_backend_server_echoes_the_context_also_when_it_refuses():
+    async def main(send):
+        for fields in ({}, {"jacinthshed_deadline_ms": "1"}):
+            response = await send("/a", jacinthshed_context="id.1", **fields)
+            assert header(response.headers, b"jacinthshed-context") == b"id.1"
+        assert header((await send("/a")).headers, b"jacinthshed-context") is None
+
+    run_backend(main)
