Show an answer completed by its copy, and an id used again on a link

Red: - an answer that stops inside its body, on a connection that stays open, is completed with the bytes of its own second copy; - the reply to a cancelled request, still on its way between two nodes, ends a new request to which the caller gave the same id.

--- a/tests/cover/test_answer_delivery.py
+++ b/tests/cover/test_answer_delivery.py
@@ -12,6 +12,7 @@
 from jacinthshed.internal.http.server import serve_connection
 from jacinthshed.internal.platform.http_adapter import platform_http_adapter
 from jacinthshed.internal.verdict import Verdict
+from jacinthshed.internal.wire.frames import Heartbeat
 from tests.common.fleet import run_virtual
 from tests.common.http import receive_all
 from tests.common.machines import desired_state, machines, request, route
@@ -67,6 +68,41 @@
     run_scenario(scenario)
 
 
+def test_an_id_used_again_after_a_cancel_does_not_get_the_first_answer(monkeypatch):
+    async def scenario(fleet):
+        link = await fleet.nodes[ENTRY]._components.links.open(TARGET)
+        awake = trio.Event()
+        receive = link._stream.receive_some
+
+        async def receive_later(*args):
+            data = await receive(*args)
+            await awake.wait()
+            return data
+
+        async def status_of(got):
+            return 200 if got.target == b"/order/1" else 500
+
+        fleet.targets[TARGET].before_answer = status_of
+        monkeypatch.setattr(link._stream, "receive_some", receive_later)
+        # The frame that the reader was waiting for already.
+        link.send(Heartbeat(99, echo=True))
+        with trio.move_on_after(0.3):
+            await fleet.send(ENTRY, request("/order/1", "same", b"POST"))
+        answers = []
+
+        async def send():
+            sent = request("/order/2", "same", b"POST")
+            answers.append(await fleet.send(ENTRY, sent))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.2)
+            awake.set()
+        assert answers[0].status != 200
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
 @pytest.mark.parametrize("closes_at", [ENTRY, TARGET])
 def test_links_that_break_deliver_no_answer_to_another_request(kind, closes_at):
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -90,6 +90,14 @@
     assert connections == 2
 
 
+def test_an_answer_that_stops_inside_its_body_is_not_completed_by_its_copy():
+    whole = answer(b"id-0", b"0123456789")
+    for length in range(len(whole)):
+        (outcome,), _ = outcomes_of([Turn((whole[:length], whole))], TWO[:1])
+        failed = isinstance(outcome, ExchangeFailed)
+        assert failed or is_own(outcome, 200, b"0123456789"), whole[:length]
+
+
 def context(own_id):
     return b"Jacinthshed-Context: %s.1\r\n" % own_id
 
