Fail an answer in whose body a second copy of it begins

Cause: a target that stops inside an answer and sends it once more, on the same connection, fills the announced length with the bytes of the copy: a success with the receipt, the right length and the wrong bytes. Why it works: the status line of the copy then begins inside the body, and the request's id follows. A copy after a whole answer begins behind it and is no reason to fail. Not covered: a copy that arrives in several parts and of which only the status line, or a part of it, has arrived when the body is complete.

--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -80,6 +80,7 @@
             )
             match = matcher.match(response.headers) if matcher else Match.OWN
             if match is Match.OWN:
+                self._check_body(response, matcher)
                 # Set last: an exchange that ends early may leave unread bytes.
                 self.reusable = keeps_open and not self._received and not mismatched
                 return response
@@ -107,6 +108,10 @@
             self.idle_limit_ms = head.idle_ms
         return Response(head.status, head.headers, body), head.keeps_open
 
+    def _check_body(self, response: Response, matcher: ResponseMatcher | None) -> None:
+        if matcher and matcher.begins_again_in(response.body, bytes(self._received)):
+            raise BadResponseError("the response body contains a second response")
+
     def is_closed_by_peer(self) -> bool:
         """Return whether this idle connection is readable, thus closed or unusable."""
         socket = getattr(self.stream, "socket", None)
--- a/src/jacinthshed/internal/http/matching.py
+++ b/src/jacinthshed/internal/http/matching.py
@@ -1,11 +1,14 @@
 """Matches the responses on a reused connection to the requests sent on it."""
 
+import re
 from collections.abc import Callable
 from enum import Enum, auto
 from typing import NamedTuple
 
 from .message import Headers
 
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 
 class Match(Enum):
     """What the header fields of a response say about the request it answers."""
@@ -34,3 +37,16 @@
             return Match.UNKNOWN if self.may_lack_id(headers) else Match.OTHER
         is_own = all(value == self.request_id for value in echoed)
         return Match.OWN if is_own else Match.OTHER
+
+    def begins_again_in(self, body: bytes, rest: bytes) -> bool:
+        """Return whether a second response to the request begins inside ``body``.
+
+        A server that stops inside a response and then sends it once more completes it
+        with the bytes of the copy. ``rest`` is what was received after the body; the
+        id in the copy may be in it.
+        """
+        received = body + rest if rest else body
+        if self.request_id not in received:
+            return False
+        starts = (found.start() for found in STATUS_LINE.finditer(received))
+        return any(start < len(body) for start in starts)
--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -6,6 +6,7 @@
 import h11
 
 from .errors import BadResponseError
+from .matching import STATUS_LINE
 from .message import (
     CONTENT_LENGTH,
     KEEP_ALIVE,
@@ -17,7 +18,6 @@
     without_hop_by_hop_fields,
 )
 
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _IDLE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 _MS_PER_S = 1_000.0
 _NO_BODY_STATUSES = (204, 304)
@@ -45,7 +45,7 @@
     the next one without a line break. The two would be read as one response, with the
     status of the first. Raises ``BadResponseError``.
     """
-    if _STATUS_LINE.search(head, 1):
+    if STATUS_LINE.search(head, 1):
         raise BadResponseError("the response head contains another one")
     # h11 takes an empty line that ends with a bare LF for the end of the head.
     if head.count(b"\n") != head.count(b"\r\n"):
