--- a/tests/common/stuttering_server.py
+++ b/tests/common/stuttering_server.py
@@ -9,6 +9,7 @@
 import trio.testing
 
 from jacinthshed.internal.http.client import BackendPool
+from jacinthshed.internal.http.message import Response, header
 from jacinthshed.internal.platform.http_adapter import platform_http_adapter
 from jacinthshed.internal.wire.frames import Submit
 from tests.common.fleet import run_virtual
@@ -56,6 +57,16 @@
     return head + b"\r\n" + body
 
 
+def is_own(outcome, status, body):
+    """Return whether ``outcome`` is exactly that answer."""
+    return (
+        isinstance(outcome, Response)
+        and outcome.status == status
+        and outcome.body == body
+        and header(outcome.headers, b"response-seal") == b"seal-" + body
+    )
+
+
 class ResettableStream(trio.abc.Stream):
     """A client's end that reports a reset instead of an orderly end."""
 
