Close a connection after the response that announces it

Cause: whether to go on was read from h11's state, but the body bypasses h11, so that its state never becomes MUST_CLOSE. A client that asks for a close, or that speaks HTTP/1.0 and reads to the end, waited for the idle limit of 60 s, and a further request was served after the announcement. Why it works: whether the client's request allows another one is known since its head was parsed.

--- a/src/jacinthshed/internal/http/server.py
+++ b/src/jacinthshed/internal/http/server.py
@@ -136,7 +136,7 @@
         write_s = self._limits.write_ms / _MS_PER_S
         self._timer.set(trio.current_time() + write_s)
         await self._stream.send_all(data)
-        return incoming.connection.our_state is not h11.MUST_CLOSE and not closes
+        return incoming.keeps_open and not closes
 
     async def _handle(self, incoming: IncomingRequest) -> Response:
         async def send_interim(interim: Response) -> None:
