--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -1,23 +1,23 @@
 """A client connection and the exchange of one request and response on it."""
 
 import functools
-from collections.abc import Callable
+from collections import deque
 
 import h11
 import trio
 
 from .errors import BadResponseError
 from .head import HEAD_END
+from .matching import Match, ResponseMatcher
 from .message import (
     CONTENT_LENGTH,
     HOST,
-    Headers,
     InterimHandler,
     Request,
     Response,
     without_hop_by_hop_fields,
 )
-from .response_head import ResponseHead, read_response_head
+from .response_head import ResponseHead, check_response_head, read_response_head
 from .write_head import request_head
 
 _RECEIVE_BYTES = 65_536
@@ -26,13 +26,11 @@
 _MAX_MISMATCHED_RESPONSES = 3
 # A server may report progress, but not keep an exchange busy with interim responses.
 _MAX_INTERIM_RESPONSES = 100
+# As many ids of earlier requests are remembered for each connection.
+_REMEMBERED_IDS = 64
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
-ResponseMatcher = Callable[[Headers], bool]
-"""Returns whether a response with these header fields answers the request."""
-
-
 class ClientConnection:
     """A connection that carries one exchange at a time.
 
@@ -48,6 +46,8 @@
         self.reusable = True
         self.idle_since_s = 0.0
         self.idle_limit_ms: float | None = None
+        self._is_new = True
+        self._carried_ids: deque[bytes] = deque(maxlen=_REMEMBERED_IDS)
         self._received = bytearray()
 
     async def exchange(
@@ -56,39 +56,42 @@
         *,
         max_body_bytes: int,
         on_interim: InterimHandler | None = None,
-        accepts: ResponseMatcher | None = None,
+        matcher: ResponseMatcher | None = None,
     ) -> Response:
         """Send ``request`` and return the complete response.
 
-        Responses for which ``accepts`` returns false belong to earlier requests: they
-        are dropped, and the connection is not reused. Raises ``BadResponseError``,
-        ``h11.LocalProtocolError`` when the request can't be encoded, and trio's errors
-        of a broken stream.
+        Responses that do not match belong to earlier requests: they are dropped. One
+        that can't be matched is returned only if no other request was sent on this
+        connection. In both cases the connection is not reused. Raises
+        ``BadResponseError``, ``h11.LocalProtocolError`` when the request can't be
+        encoded, and trio's errors of a broken stream.
         """
         self.sent = False
         self.reusable = False
-        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
-        data = _encode(request, protocol)
+        protocol, data = _encode(request)
         self.sent = True
+        is_new, self._is_new = self._is_new, False
+        if matcher is not None:
+            self._carried_ids.append(matcher.request_id)
         await self.stream.send_all(data)
-        response, keeps_open = await self._read_response(
-            request, protocol, max_body_bytes, on_interim
-        )
-        mismatched = 0
-        while accepts is not None and not accepts(response.headers):
-            mismatched += 1
-            if mismatched > _MAX_MISMATCHED_RESPONSES or not keeps_open:
-                raise BadResponseError("the response does not match the request")
-            protocol = h11.Connection(
-                h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-            )
-            _encode(request, protocol)
+        for mismatched in range(_MAX_MISMATCHED_RESPONSES + 1):
             response, keeps_open = await self._read_response(
                 request, protocol, max_body_bytes, on_interim
             )
-        # Set last: an exchange that ends early may leave unread bytes.
-        self.reusable = keeps_open and not self._received and not mismatched
-        return response
+            match = matcher.match(response.headers) if matcher else Match.OWN
+            if match is Match.OWN:
+                self._check_body(response, matcher)
+                # Set last: an exchange that ends early may leave unread bytes.
+                self.reusable = keeps_open and not self._received and not mismatched
+                return response
+            if match is Match.UNKNOWN:
+                if is_new and not mismatched:
+                    return response
+                raise BadResponseError("the response may be to an earlier request")
+            if not keeps_open:
+                break
+            protocol = _protocol_for(request.method)
+        raise BadResponseError("the response does not match the request")
 
     async def _read_response(
         self,
@@ -105,16 +108,29 @@
             self.idle_limit_ms = head.idle_ms
         return Response(head.status, head.headers, body), head.keeps_open
 
+    def _check_body(self, response: Response, matcher: ResponseMatcher | None) -> None:
+        if matcher and matcher.begins_again_in(response.body, bytes(self._received)):
+            raise BadResponseError("the response body contains a second response")
+
     def is_closed_by_peer(self) -> bool:
         """Return whether this idle connection is readable, thus closed or unusable."""
         socket = getattr(self.stream, "socket", None)
         return socket is not None and socket.is_readable()
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with that id was sent here not long ago.
+
+        A late second answer to it would match a further request with the same id.
+        """
+        return request_id in self._carried_ids
+
     async def _read_final_head(
         self, protocol: h11.Connection, on_interim: InterimHandler | None
     ) -> h11.Response:
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
-            protocol.receive_data(await self._read_head())
+            head = await self._read_head()
+            check_response_head(head)
+            protocol.receive_data(head)
             event = _next_event(protocol)
             if type(event) is h11.Response:
                 return event
@@ -192,14 +208,20 @@
         return consumed
 
 
-def _encode(request: Request, protocol: h11.Connection) -> bytes:
+def _encode(request: Request) -> tuple[h11.Connection, bytes]:
+    """Return ``request`` as bytes, and the connection that parses its response."""
     headers = list(request.headers)
     if request.body or request.method in _METHODS_WITH_BODY:
         headers.append((CONTENT_LENGTH, str(len(request.body)).encode()))
     head = request_head(request.method, request.target, headers)
+    return _protocol_for(request.method), head + request.body
+
+
+def _protocol_for(method: bytes) -> h11.Connection:
+    protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
     # h11 needs the method of the request to parse the response.
-    protocol.send(_request_event(request.method))
-    return head + request.body
+    protocol.send(_request_event(method))
+    return protocol
 
 
 @functools.lru_cache(maxsize=32)
--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from .errors import BadResponseError
+from .matching import STATUS_LINE
 from .message import (
     CONTENT_LENGTH,
     KEEP_ALIVE,
@@ -36,6 +38,20 @@
     idle_ms: float | None = None
 
 
+def check_response_head(head: bytes) -> None:
+    """Check that ``head``, up to its empty line, is that of one response.
+
+    The end of an earlier response that a server sends late, and in part, may precede
+    the next one without a line break. The two would be read as one response, with the
+    status of the first. Raises ``BadResponseError``.
+    """
+    if STATUS_LINE.search(head, 1):
+        raise BadResponseError("the response head contains another one")
+    # h11 takes an empty line that ends with a bare LF for the end of the head.
+    if head.count(b"\n") != head.count(b"\r\n"):
+        raise BadResponseError("the response head has lines that end without CR LF")
+
+
 def read_response_head(request: Request, event: h11.Response) -> ResponseHead:
     """Return the head of the response ``event`` to ``request``."""
     fields = tuple(event.headers)
--- a/src/jacinthshed/internal/platform/headers.py
+++ b/src/jacinthshed/internal/platform/headers.py
@@ -15,3 +15,4 @@
 STORE_ERA = b"store-era"
 # Service of the backend server beside the node where the request entered.
 CALLER_SERVICE = b"caller-service"
+CONTENT_ENCODING = b"content-encoding"
