Test what a restored store does to targets that left, and to new nodes

The builders move to tests/common/restored_store.py.

- A node that starts just after a restore knows the targets from peers and applies its own reading at once: other nodes lose live targets.
- A second restore ends the withholding of a target that left.
- The release of withheld targets counts from the first restore.
- A node that first asks a node that just started misses removals.

--- /dev/null
+++ b/tests/common/restored_store.py
@@ -0,0 +1,47 @@
+"""Machines whose store is restored from a copy."""
+
+import trio
+
+from jacinthshed.internal.discovery.directory import Directory
+from jacinthshed.internal.node.clock import Clock, trio_now_ms
+from jacinthshed.internal.node.target_updates import TargetUpdates
+from jacinthshed.internal.standin.store_state import StoreFaultMode
+from tests.common.machines import entry_of
+
+TWO = {"10.0.0.1": "a", "10.0.0.2": "b"}
+THREE = {**TWO, "10.0.0.3": "b"}
+SIX = {f"10.0.0.{number}": "ab"[number % 2] for number in range(1, 7)}
+
+
+async def take_down(fleet, *, for_s):
+    """Let the store fail for some seconds."""
+    fleet.store.faults.extend([StoreFaultMode.BUSY] * 1_000)
+    await trio.sleep(for_s)
+    fleet.store.faults.clear()
+
+
+def write_entry(fleet, ip, service="b", **more):
+    """Write the entry of the target at ``ip``."""
+    entry = entry_of(f"i-{ip}", ip, service, **more)
+    fleet.store.put(f"servers/i-{ip}", entry)
+
+
+def directory_of(fleet, ip):
+    """Return the directory of the node at ``ip``."""
+    return fleet.nodes[ip]._components.state.directory
+
+
+def hosts_of(fleet, ip, service="b"):
+    """Return the hosts of the targets of ``service`` that the node at ``ip`` uses."""
+    return [entry.host for entry in directory_of(fleet, ip).targets(service)]
+
+
+def target_updates(directory=None):
+    """Return updates of a directory without subscribers."""
+    return TargetUpdates(
+        directory=directory or Directory(),
+        clock=Clock(trio_now_ms, lambda: 0),
+        on_hosts=lambda hosts: None,
+        on_services=lambda services: None,
+        log=lambda event, **fields: None,
+    )
--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -10,30 +10,16 @@
 from jacinthshed.internal.standin.store_state import StoreFaultMode
 from tests.common.fleet import run_virtual
 from tests.common.machines import STORE, desired_state, entry_of, machines, request
+from tests.common.restored_store import (
+    SIX,
+    THREE,
+    TWO,
+    directory_of,
+    take_down,
+    write_entry,
+)
 from tests.common.store_feeds import FeedRecorder, run_scenario
 
-TWO = {"10.0.0.1": "a", "10.0.0.2": "b"}
-THREE = {**TWO, "10.0.0.3": "b"}
-SIX = {f"10.0.0.{number}": "ab"[number % 2] for number in range(1, 7)}
-
-
-async def take_down(fleet, *, for_s):
-    """Let the store fail for some seconds."""
-    fleet.store.faults.extend([StoreFaultMode.BUSY] * 1_000)
-    await trio.sleep(for_s)
-    fleet.store.faults.clear()
-
-
-def write_entry(fleet, ip, service="b", **more):
-    """Write the entry of the target at ``ip``."""
-    entry = entry_of(f"i-{ip}", ip, service, **more)
-    fleet.store.put(f"servers/i-{ip}", entry)
-
-
-def directory_of(fleet, ip):
-    """Return the directory of the node at ``ip``."""
-    return fleet.nodes[ip]._components.state.directory
-
 
 def test_a_change_written_again_under_a_known_revision_is_in_force_in_time():
     async def main():
--- /dev/null
+++ b/tests/cover/test_platform_restored_targets.py
@@ -0,0 +1,141 @@
+"""Targets whose entries a restored store has lost, or lists again."""
+
+import trio
+
+from jacinthshed.internal.discovery.directory import Directory
+from jacinthshed.internal.discovery.publication import Sinks
+from jacinthshed.internal.discovery.source_revision import SourceRevision, to_ordinal
+from jacinthshed.internal.discovery.target_entry import EntryChange
+from jacinthshed.internal.platform.feeds import targets_feed
+from jacinthshed.internal.platform.store import Item
+from jacinthshed.internal.platform.target_entries import parse_entry
+from tests.common.fleet import run_virtual
+from tests.common.machines import entry_of, machines
+from tests.common.restored_store import (
+    SIX,
+    THREE,
+    hosts_of,
+    take_down,
+    target_updates,
+    write_entry,
+)
+from tests.common.store_feeds import PEER_PORT, run_scenario
+
+
+def listed(key, generation, revision, **more):
+    """Return the change that lists the target ``key`` with service ``b``."""
+    at = to_ordinal(SourceRevision(generation, revision))
+    item = Item(f"servers/{key}", at, entry_of(key, "10.0.0.9", "b", **more))
+    return parse_entry(item, PEER_PORT)
+
+
+def test_a_node_that_starts_after_a_restore_removes_live_targets_everywhere():
+    # The new node learned of the target from peers before it read the store itself.
+    async def main():
+        async with machines(SIX) as fleet:
+            copy = fleet.store.copy()
+            await fleet.add("10.0.0.9", "b")
+            await trio.sleep(2)
+            fleet.store.restore(copy)
+            await take_down(fleet, for_s=0.2)
+            await fleet.start_node("10.0.0.8", "a", seeds=["10.0.0.1"])
+            for tenth in range(40):
+                if tenth == 15:
+                    write_entry(fleet, "10.0.0.9")
+                for ip in SIX:
+                    assert "10.0.0.9" in hosts_of(fleet, ip)
+                await trio.sleep(0.1)
+
+    run_virtual(main)
+
+
+def test_a_node_that_reads_long_after_a_restore_learns_late_that_a_target_leaves():
+    # Peers told it of the restored directory; its own feed still had an old revision.
+    async def scenario(state, store):
+        directory = Directory()
+        updates = target_updates(directory)
+        sinks = Sinks(lambda document: None, print, updates.replace, updates.change)
+        if hasattr(updates, "source_restored"):
+            sinks = sinks._replace(source_restored=updates.source_restored)
+        feed = targets_feed(store, sinks, lambda event, **fields: None, PEER_PORT)
+        state.put("servers/p", entry_of("p", "10.0.0.9", "b"))
+        (await feed.read()).unwrap()()
+        state.restore(state.copy())
+        updates.change(to_ordinal(SourceRevision(1, 2)), [listed("p", 1, 2)])
+        await trio.sleep(60)
+        state.put("servers/p", entry_of("p", "10.0.0.9", "b", state="draining"))
+        (await feed.watch(1_000)).unwrap()()
+        assert not directory.targets("b")
+
+    run_scenario(scenario)
+
+
+def test_a_target_that_left_gets_work_again_after_a_second_restore():
+    # The second copy lists it too; nothing has shown meanwhile that it runs.
+    async def main():
+        async with machines(THREE) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.delete("servers/i-10.0.0.2")
+            await trio.sleep(2)
+            for _ in range(2):
+                fleet.store.restore(copy)
+                await take_down(fleet, for_s=1)
+                await trio.sleep(4)
+            for ip in THREE:
+                assert hosts_of(fleet, ip) == ["10.0.0.3"]
+
+    run_virtual(main)
+
+
+def test_a_target_listed_by_a_second_copy_gets_work_before_its_entry_expires():
+    # The time until its entry expires begins anew with each restore.
+    async def main():
+        async with machines(THREE) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.delete("servers/i-10.0.0.2")
+            await trio.sleep(2)
+            for pause_s in (11, 9):
+                fleet.store.restore(copy)
+                await take_down(fleet, for_s=1)
+                await trio.sleep(pause_s)
+            for ip in THREE:
+                assert hosts_of(fleet, ip) == ["10.0.0.3"]
+
+    run_virtual(main)
+
+
+def test_a_target_that_started_again_under_its_id_gets_no_work_after_a_restore():
+    # Its entry has a later start, but a lower revision than its removal had.
+    async def main():
+        async with machines(THREE) as fleet:
+            copy = fleet.store.copy()
+            for number in range(5):
+                fleet.store.put("other/x", b"%d" % number)
+            fleet.store.delete("servers/i-10.0.0.2")
+            await trio.sleep(2)
+            fleet.store.restore(copy)
+            write_entry(fleet, "10.0.0.2", born=2)
+            await take_down(fleet, for_s=1)
+            await trio.sleep(4)
+            for ip in THREE:
+                assert hosts_of(fleet, ip) == ["10.0.0.2", "10.0.0.3"]
+
+    run_virtual(main)
+
+
+def test_a_removal_is_missed_by_a_node_that_first_asks_a_node_that_just_started():
+    # The new node never knew the target, so its changes can't contain the removal.
+    def at(revision):
+        return to_ordinal(SourceRevision(1, revision))
+
+    reader, started, other = Directory(), Directory(), Directory()
+    for known in (reader, other):
+        known.replace(9, [listed("p", 0, 9)])
+    started.replace(at(7), [])
+    reader.replace(at(6), [])
+    reader.apply(at(7), [EntryChange("servers/q", at(7), None)])
+    for peer in (started, reader):
+        if peer.revision > other.revision:
+            other.apply(peer.revision, peer.changes_above(other.revision))
+    assert not reader.targets("b")
+    assert not other.targets("b")
