Defer a list of targets by the generation that the node knows

Callers lost targets for up to two seconds when a node started just after the store was restored: targets that had joined since the copy was made were removed at all nodes that don't read the store. And a node that began to read it long after a restore took two seconds to stop using a target that was leaving.

Cause: the feed decided whether the store had been restored, from the revision of its own last reading. A node that starts has none, but may know targets from its peers; a node that isn't a reader has one that is as old as its start, though its peers told it of the restore long ago.

Evidence: the first two tests of test_platform_restored_targets.py fail without this and pass with it. The second one loses the lines that set a sink which no longer exists.

TargetUpdates knows both: it defers complete lists until two seconds after it first heard of a generation, from the store or a peer, unless it knew no targets before.

--- a/src/jacinthshed/internal/discovery/publication.py
+++ b/src/jacinthshed/internal/discovery/publication.py
@@ -18,16 +18,14 @@
 
     ``take_bundle`` receives a policy document, ``take_hosts`` a list of hosts.
     ``replace_targets`` receives a revision and all targets, ``change_targets`` a
-    revision and the changes up to it. ``source_restored`` is called before the first
-    targets of a source that was restored from a copy and has lost its latest changes.
-    Revisions are ordinals that include the generation of their source.
+    revision and the changes up to it. Revisions are ordinals that include the
+    generation of their source.
     """
 
     take_bundle: Callable[[bytes], None]
     take_hosts: Callable[[Sequence[ListedHost]], None]
     replace_targets: Callable[[int, Sequence[EntryChange]], None]
     change_targets: Callable[[int, Sequence[EntryChange]], None]
-    source_restored: Callable[[], None] = lambda: None
 
 
 class Publication(NamedTuple):
--- a/src/jacinthshed/internal/node/target_updates.py
+++ b/src/jacinthshed/internal/node/target_updates.py
@@ -29,9 +29,11 @@
     """Applies changes to the directory and notifies its subscribers.
 
     ``on_hosts`` is called with the hosts of all targets, ``on_services`` with the
-    services whose targets changed. After a long outage of the source, and after it was
-    restored from a copy, updates are deferred until live targets have had time to list
-    themselves again; otherwise they would appear to have left.
+    services whose targets changed. After a long outage of the source, updates are
+    deferred until live targets have had time to list themselves again; otherwise they
+    would appear to have left. So are complete lists, and what follows them, after the
+    source was restored from a copy. Changes that a peer has applied are applied at
+    once; they contain no removals that the peer would have deferred.
     """
 
     def __init__(
@@ -48,6 +50,8 @@
         self._on_hosts = on_hosts
         self._on_services = on_services
         self._log = log
+        self._generation = 0
+        self._relisted_at_ms = -inf
         self._apply_at_ms = inf
         self._deferred: list[Callable[[], list[str]]] = []
         self._release_at_ms = inf
@@ -55,26 +59,37 @@
 
     def replace(self, revision: int, changes: Sequence[EntryChange]) -> None:
         """Apply a complete list of targets as of ``revision``."""
+        self._note_generation(revision)
+        if self._clock.now_ms() < self._relisted_at_ms:
+            self._defer_until(self._relisted_at_ms, outage_ms=0.0)
         self._apply_or_defer(lambda: self._directory.replace(revision, changes))
 
     def change(self, revision: int, changes: Sequence[EntryChange]) -> None:
         """Apply changes, complete up to ``revision``."""
+        self._note_generation(revision)
         self._apply_or_defer(lambda: self._directory.apply(revision, changes))
 
     def source_recovered(self, outage_ms: float) -> None:
         """Defer updates for a while if the source's outage was long."""
-        if outage_ms >= EXPIRY_AFTER_MS:
-            self._defer(outage_ms)
-
-    def source_restored(self) -> None:
-        """Defer updates for a while, as the source has lost its latest changes."""
-        self._defer(0.0)
-
-    def _defer(self, outage_ms: float) -> None:
-        if not self._directory.revision:
+        if outage_ms >= EXPIRY_AFTER_MS and self._directory.revision:
+            relisted_at_ms = self._clock.now_ms() + RELIST_MS
+            self._defer_until(relisted_at_ms, outage_ms=outage_ms)
+
+    def _note_generation(self, revision: int) -> None:
+        """Record when a restore of the source became known, from it or from a peer."""
+        generation = from_ordinal(revision).generation
+        if generation <= self._generation:
             return
-        self._apply_at_ms = self._clock.now_ms() + RELIST_MS
-        self._log("targets_held", outage_ms=round(outage_ms), for_ms=RELIST_MS)
+        self._generation = generation
+        if self._directory.revision:
+            self._relisted_at_ms = self._clock.now_ms() + RELIST_MS
+
+    def _defer_until(self, apply_at_ms: float, *, outage_ms: float) -> None:
+        if self._apply_at_ms < inf:
+            apply_at_ms = max(apply_at_ms, self._apply_at_ms)
+        self._apply_at_ms = apply_at_ms
+        for_ms = round(apply_at_ms - self._clock.now_ms())
+        self._log("targets_held", outage_ms=round(outage_ms), for_ms=for_ms)
         self._wake.set()
 
     async def run(self) -> None:
@@ -137,5 +152,4 @@
         take_hosts,
         updates.replace,
         updates.change,
-        updates.source_restored,
     )
--- a/src/jacinthshed/internal/platform/feeds.py
+++ b/src/jacinthshed/internal/platform/feeds.py
@@ -37,7 +37,6 @@
         prefix=POLICY_KEY,
         on_read=take,
         on_change=take,
-        on_restored=lambda: None,
         log=log,
         starts_stale=starts_stale,
     )
@@ -71,7 +70,6 @@
         prefix=TARGETS_PREFIX,
         on_read=replace,
         on_change=change,
-        on_restored=sinks.source_restored,
         log=log,
         starts_stale=starts_stale,
     )
@@ -83,8 +81,7 @@
 
     Everything is read again when the store no longer has the history that a watch
     needs, or was restored from a copy, which gives revisions out again. ``on_read``
-    gets what was read, ``on_change`` the changes; ``on_restored`` is called before the
-    first reading of a restored store is applied. A prefix without items is a complete
+    gets what was read, ``on_change`` the changes. A prefix without items is a complete
     reading too: its first item is then a change.
     """
 
@@ -95,7 +92,6 @@
         prefix: str,
         on_read: Callable[[StoreItems], None],
         on_change: Callable[[StoreItems], None],
-        on_restored: Callable[[], None],
         log: LogDecision,
         starts_stale: bool,
     ) -> None:
@@ -103,7 +99,6 @@
         self._prefix = prefix
         self._on_read = on_read
         self._on_change = on_change
-        self._on_restored = on_restored
         self._log = log
         self._allow_stale = starts_stale
         self._revision = 0
@@ -117,18 +112,11 @@
         if isinstance(result, Failure):
             return Failure(result.failure())
         found = _outdated(result.unwrap()) if self._allow_stale else result.unwrap()
-        is_restored = _is_restored(self._revision, found.revision)
-        if is_restored:
+        if _is_restored(self._revision, found.revision):
             self._log_restored(found.revision)
         self._revision = found.revision
         self._allow_stale = False
-
-        def apply() -> None:
-            if is_restored:
-                self._on_restored()
-            self._on_read(found)
-
-        return Success(apply)
+        return Success(lambda: self._on_read(found))
 
     async def watch(self, wait_ms: int) -> Result[ApplyReading, object]:
         """Wait for changes; read all items if the history of changes is lost."""
--- a/tests/cover/test_platform_restored_targets.py
+++ b/tests/cover/test_platform_restored_targets.py
@@ -55,8 +55,6 @@
         directory = Directory()
         updates = target_updates(directory)
         sinks = Sinks(lambda document: None, print, updates.replace, updates.change)
-        if hasattr(updates, "source_restored"):
-            sinks = sinks._replace(source_restored=updates.source_restored)
         feed = targets_feed(store, sinks, lambda event, **fields: None, PEER_PORT)
         state.put("servers/p", entry_of("p", "10.0.0.9", "b"))
         (await feed.read()).unwrap()()
