Keep withholding work from a target that a second copy lists too

Callers were sent to a target that had left, at once after the store had been restored for the second time.

Cause: an entry that a restored store lists ends the withholding unless the known entry was removed or leaving. After the first restore the known entry is the one of the copy, which says neither.

Evidence: test_a_target_that_left_gets_work_again_after_a_second_restore fails without this and passes with it. Whether the known entry itself was withheld now counts as leaving; an entry with a higher number, which the target wrote, still ends it.

--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -64,9 +64,10 @@
             if known is not None and known.revision >= change.revision:
                 continue
             self._changes[change.key] = change
-            is_changed |= change.key in self._relisted
+            was_relisted = change.key in self._relisted
+            is_changed |= was_relisted
             self._relisted.discard(change.key)
-            if known is not None and _relists(known, change):
+            if known is not None and _relists(known, change, was_relisted):
                 self._relisted.add(change.key)
             is_changed |= change.entry != (known.entry if known else None)
         self.revision = max(self.revision, revision)
@@ -136,10 +137,11 @@
         )
 
 
-def _relists(known: EntryChange, change: EntryChange) -> bool:
+def _relists(known: EntryChange, change: EntryChange, was_relisted: bool) -> bool:
     """Return whether a restored source lists a target that is known to have left.
 
-    An entry with a higher number than the known one was written after the restore.
+    ``was_relisted`` says that the known entry was listed in that way. An entry with a
+    higher number than the known one was written after the restore.
     """
     known_at, changed_at = from_ordinal(known.revision), from_ordinal(change.revision)
     if changed_at.generation <= known_at.generation or change.entry is None:
@@ -149,7 +151,7 @@
     if known.entry is None:
         return True
     started_later = change.entry.started_wall_ms > known.entry.started_wall_ms
-    return known.entry.leaving and not started_later
+    return (known.entry.leaving or was_relisted) and not started_later
 
 
 def _start_order(change: EntryChange) -> tuple[int, int]:
