Count the time until listed targets expire from the last restore

Callers were sent to a target that had left, soon after a second restore.

Cause: the timer that ends the withholding was started once, by the first restore, and not moved by the next one, after which the entry of a target that doesn't run has as long until it expires.

--- a/src/jacinthshed/internal/node/target_updates.py
+++ b/src/jacinthshed/internal/node/target_updates.py
@@ -55,6 +55,7 @@
         self._apply_at_ms = inf
         self._deferred: list[Callable[[], list[str]]] = []
         self._release_at_ms = inf
+        self._release_generation = 0
         self._wake = trio.Event()
 
     def replace(self, revision: int, changes: Sequence[EntryChange]) -> None:
@@ -121,12 +122,15 @@
             self._notify(apply())
 
     def _notify(self, services: list[str]) -> None:
-        if self._directory.has_relisted and self._release_at_ms == inf:
+        generation, revision = from_ordinal(self._directory.revision)
+        # After another restore, entries take as long to expire again.
+        is_later = generation > self._release_generation
+        if self._directory.has_relisted and (is_later or self._release_at_ms == inf):
+            self._release_generation = generation
             self._release_at_ms = self._clock.now_ms() + RELISTED_EXPIRY_MS
             self._wake.set()
         if not services:
             return
-        generation, revision = from_ordinal(self._directory.revision)
         self._log(
             "targets_changed",
             generation=generation,
--- a/tests/cover/test_platform_restored_targets.py
+++ b/tests/cover/test_platform_restored_targets.py
@@ -102,6 +102,25 @@
     run_virtual(main)
 
 
+def test_a_target_that_is_listed_long_after_a_restore_never_gets_work():
+    # Targets that were listed again at the restore itself were released long before.
+    async def main():
+        directory = Directory()
+        updates = target_updates(directory)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(updates.run)
+            left = [EntryChange(f"servers/{key}", 9, None) for key in "pq"]
+            updates.change(9, left)
+            updates.change(listed("p", 1, 5).revision, [listed("p", 1, 5)])
+            await trio.sleep(60)
+            updates.change(listed("q", 1, 6).revision, [listed("q", 1, 6, born=2)])
+            await trio.sleep(20)
+            assert [found.target_id for found in directory.targets("b")] == ["q"]
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
 def test_a_target_that_started_again_under_its_id_gets_no_work_after_a_restore():
     # Its entry has a later start, but a lower revision than its removal had.
     async def main():
