Use a target that started again under its id after a restore

Callers weren't sent to a live target for 15 seconds after the store had been restored.

Cause: a target whose removal was known, and that started again under the same id, was taken for one that only the copy lists, since its entry had a lower revision than the removal. The start time in its entry shows that it runs, but a removal has no start time to compare it with.

The directory records the latest start of each target as long as it retains the target's change.

--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -29,6 +29,8 @@
         self._by_address: dict[str, TargetEntry] = {}
         self._all_by_service: dict[str, frozenset[TargetEntry]] = {}
         self._relisted: set[str] = set()
+        # The latest start of each target; a change that removes it doesn't contain it.
+        self._started_ms: dict[str, int] = {}
 
     @property
     def has_relisted(self) -> bool:
@@ -64,10 +66,15 @@
             if known is not None and known.revision >= change.revision:
                 continue
             self._changes[change.key] = change
+            started_later = self._record_start(change)
             was_relisted = change.key in self._relisted
             is_changed |= was_relisted
             self._relisted.discard(change.key)
-            if known is not None and _relists(known, change, was_relisted):
+            if (
+                known is not None
+                and not started_later
+                and _relists(known, change, was_relisted)
+            ):
                 self._relisted.add(change.key)
             is_changed |= change.entry != (known.entry if known else None)
         self.revision = max(self.revision, revision)
@@ -94,6 +101,17 @@
         """Return all targets, including those that are leaving."""
         return [change.entry for change in self._changes.values() if change.entry]
 
+    def _record_start(self, change: EntryChange) -> bool:
+        """Record when the target started; return whether that is a later start."""
+        if change.entry is None:
+            return False
+        known_ms = self._started_ms.get(change.key)
+        started_ms = change.entry.started_wall_ms
+        if known_ms is not None and started_ms <= known_ms:
+            return False
+        self._started_ms[change.key] = started_ms
+        return known_ms is not None
+
     def _evict_removed(self) -> None:
         """Limit the number of removed targets that are retained; drop the oldest."""
         removed = [c for c in self._changes.values() if c.entry is None]
@@ -101,6 +119,7 @@
             removed.sort(key=lambda change: change.revision)
             for change in removed[: len(removed) - MAX_REMOVED]:
                 del self._changes[change.key]
+                self._started_ms.pop(change.key, None)
 
     def _index(self) -> list[str]:
         """Rebuild the indexes; return the services whose targets changed."""
@@ -148,10 +167,7 @@
         return False
     if changed_at.revision > known_at.revision or change.entry.leaving:
         return False
-    if known.entry is None:
-        return True
-    started_later = change.entry.started_wall_ms > known.entry.started_wall_ms
-    return (known.entry.leaving or was_relisted) and not started_later
+    return known.entry is None or known.entry.leaving or was_relisted
 
 
 def _start_order(change: EntryChange) -> tuple[int, int]:
