Send several requests at once to find a target that is used again

test_a_target_that_left_gets_no_requests_when_the_copy_lists_it passed without the withholding that it guards, for both of its cases: single requests always went to the same idle target. With three at a time both targets are used, and the test fails if removed or leaving targets are not withheld.

--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -99,10 +99,19 @@
             await trio.sleep(2)
             fleet.store.restore(copy)
             await take_down(fleet, for_s=1)
+            answers = []
+
+            async def send(attempt):
+                sent = request("/lookup/1", attempt)
+                answers.append(await fleet.send("10.0.0.1", sent))
+
+            # Several at once, as idle targets are not all used for single requests.
             for number in range(60):
-                answer = await fleet.send("10.0.0.1", request("/lookup/1", f"{number}"))
-                assert answer.status == 200
-                await trio.sleep(0.15)
+                async with trio.open_nursery() as nursery:
+                    for part in range(3):
+                        nursery.start_soon(send, f"{number}-{part}")
+                await trio.sleep(0.14)
+            assert {answer.status for answer in answers} == {200}
             assert not fleet.targets["10.0.0.2"].runs
             # Its entry would have expired by now if it did not run.
             await trio.sleep(11)
