--- a/tests/common/restored_store.py
+++ b/tests/common/restored_store.py
@@ -3,10 +3,14 @@
 import trio
 
 from jacinthshed.internal.discovery.directory import Directory
+from jacinthshed.internal.discovery.source_revision import SourceRevision, to_ordinal
 from jacinthshed.internal.node.clock import Clock, trio_now_ms
 from jacinthshed.internal.node.target_updates import TargetUpdates
+from jacinthshed.internal.platform.store import Item
+from jacinthshed.internal.platform.target_entries import parse_entry
 from jacinthshed.internal.standin.store_state import StoreFaultMode
 from tests.common.machines import entry_of
+from tests.common.store_feeds import PEER_PORT
 
 TWO = {"10.0.0.1": "a", "10.0.0.2": "b"}
 THREE = {**TWO, "10.0.0.3": "b"}
@@ -45,3 +49,10 @@
         on_services=lambda services: None,
         log=lambda event, **fields: None,
     )
+
+
+def listed(key, generation, revision, **more):
+    """Return the change that lists the target ``key`` with service ``b``."""
+    at = to_ordinal(SourceRevision(generation, revision))
+    item = Item(f"servers/{key}", at, entry_of(key, "10.0.0.9", "b", **more))
+    return parse_entry(item, PEER_PORT)
--- a/tests/cover/test_platform_restored_targets.py
+++ b/tests/cover/test_platform_restored_targets.py
@@ -7,14 +7,13 @@
 from jacinthshed.internal.discovery.source_revision import SourceRevision, to_ordinal
 from jacinthshed.internal.discovery.target_entry import EntryChange
 from jacinthshed.internal.platform.feeds import targets_feed
-from jacinthshed.internal.platform.store import Item
-from jacinthshed.internal.platform.target_entries import parse_entry
 from tests.common.fleet import run_virtual
 from tests.common.machines import entry_of, machines
 from tests.common.restored_store import (
     SIX,
     THREE,
     hosts_of,
+    listed,
     take_down,
     target_updates,
     write_entry,
@@ -22,13 +21,6 @@
 from tests.common.store_feeds import PEER_PORT, run_scenario
 
 
-def listed(key, generation, revision, **more):
-    """Return the change that lists the target ``key`` with service ``b``."""
-    at = to_ordinal(SourceRevision(generation, revision))
-    item = Item(f"servers/{key}", at, entry_of(key, "10.0.0.9", "b", **more))
-    return parse_entry(item, PEER_PORT)
-
-
 def test_a_node_that_starts_after_a_restore_removes_live_targets_everywhere():
     # The new node learned of the target from peers before it read the store itself.
     async def main():
