Show with real nodes that a removal is missed

It replaces a test of three directories that were filled by hand, which showed the same cause; the directories could still be filled so after a change of what nodes exchange. Seven nodes take part now.

--- a/tests/cover/test_platform_restored_targets.py
+++ b/tests/cover/test_platform_restored_targets.py
@@ -132,19 +132,18 @@
     run_virtual(main)
 
 
-def test_a_removal_is_missed_by_a_node_that_first_asks_a_node_that_just_started():
-    # The new node never knew the target, so its changes can't contain the removal.
-    def at(revision):
-        return to_ordinal(SourceRevision(1, revision))
-
-    reader, started, other = Directory(), Directory(), Directory()
-    for known in (reader, other):
-        known.replace(9, [listed("p", 0, 9)])
-    started.replace(at(7), [])
-    reader.replace(at(6), [])
-    reader.apply(at(7), [EntryChange("servers/q", at(7), None)])
-    for peer in (started, reader):
-        if peer.revision > other.revision:
-            other.apply(peer.revision, peer.changes_above(other.revision))
-    assert not reader.targets("b")
-    assert not other.targets("b")
+def test_nodes_that_first_ask_a_node_that_just_started_miss_a_removal():
+    # The new node read the store before its peers, and never knew the target.
+    async def main():
+        async with machines(SIX) as fleet:
+            copy = fleet.store.copy()
+            await fleet.add("10.0.0.9", "b")
+            await trio.sleep(6)
+            fleet.store.restore(copy)
+            await trio.sleep(1.5)
+            await fleet.add("10.0.1.1", "a")
+            await trio.sleep(30)
+            for ip in (*SIX, "10.0.1.1"):
+                assert "10.0.0.9" not in hosts_of(fleet, ip)
+
+    run_virtual(main)
