Send the complete list to a node that a new node can't update

Callers were sent to targets that the store no longer lists, for as long as their nodes ran.

Cause: a node's revision was taken for its place in the history of the directory. A node that has just started holds what is listed at its first reading, but none of the removals before it. Nodes at a lower revision that asked it got its revision without these removals and, being at that revision, never asked for them again. After a restore all nodes are at a lower revision, until the readers' two seconds are over.

A directory knows above which revision it has all changes. To a node below that it sends the complete list and says so; the node applies it as it does a reading of the store, two seconds late after a restore.

--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -13,6 +13,9 @@
 class Directory:
     """The entries of the directory as of ``revision``.
 
+    ``complete_above`` is the revision of the first reading: removals up to it are not
+    known here, so a node at a lower revision needs the complete list.
+
     Each entry is the one of the change with the highest revision, so changes may arrive
     repeatedly and in any order. Revisions are ordinals that include the generation of
     the source.
@@ -24,6 +27,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.complete_above = 0
         self._changes: dict[str, EntryChange] = {}
         self._available_by_service: dict[str, tuple[TargetEntry, ...]] = {}
         self._by_address: dict[str, TargetEntry] = {}
@@ -50,6 +54,8 @@
 
         Targets that it doesn't contain are removed, unless a later change is known.
         """
+        if not self.revision:
+            self.complete_above = revision
         listed = {change.key: change for change in entries}
         missing = [
             EntryChange(key, revision, None)
@@ -82,7 +88,9 @@
         return self._index() if is_changed else []
 
     def changes_above(self, revision: int) -> list[EntryChange]:
-        """Return the changes that a node at ``revision`` lacks."""
+        """Return the changes that a node at ``revision`` lacks, or all of them."""
+        if revision < self.complete_above:
+            revision = 0
         return [c for c in self._changes.values() if c.revision > revision]
 
     def services(self) -> tuple[str, ...]:
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -163,11 +163,20 @@
 
     def _on_targets_request(self, channel: Channel, request: TargetsRequest) -> None:
         changes = self._directory.changes_above(request.above_revision)
-        channel.send(TargetsData(self._directory.revision, tuple(changes)))
+        channel.send(
+            TargetsData(
+                self._directory.revision,
+                tuple(changes),
+                self._directory.complete_above,
+            )
+        )
 
     def _on_targets_data(self, channel: Channel, data: TargetsData) -> None:
         self._targets_requested_ms = float("-inf")
-        self._updates.change(data.revision, data.changes)
+        if self._directory.revision < data.complete_above:
+            self._updates.replace(data.revision, data.changes)
+        else:
+            self._updates.change(data.revision, data.changes)
 
     def _request_newer_bundle(self, channel: Channel, order: BundleOrder) -> None:
         """Request the sender's bundle if it is above the one in force."""
--- a/src/jacinthshed/internal/wire/targets.py
+++ b/src/jacinthshed/internal/wire/targets.py
@@ -12,7 +12,12 @@
 
 
 class TargetsData(NamedTuple):
-    """All directory changes up to ``revision`` that the requesting node lacks."""
+    """All directory changes up to ``revision`` that the requesting node lacks.
+
+    For a node at a revision below ``complete_above``, they are the complete list: the
+    targets that it doesn't contain were removed.
+    """
 
     revision: int
     changes: tuple[EntryChange, ...]
+    complete_above: int = 0
