--- a/tests/cover/test_platform_generations.py
+++ b/tests/cover/test_platform_generations.py
@@ -123,3 +123,12 @@
             nursery.cancel_scope.cancel()
 
     run_virtual(main)
+
+
+def test_a_node_below_the_first_reading_of_another_gets_all_its_targets():
+    directory = Directory()
+    directory.replace(7, [listed("p", 0, 3), listed("q", 0, 7)])
+    directory.apply(9, [listed("r", 0, 9)])
+    keys = [change.key for change in directory.changes_above(6)]
+    assert keys == ["servers/p", "servers/q", "servers/r"]
+    assert [change.key for change in directory.changes_above(7)] == ["servers/r"]
