--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -13,6 +13,9 @@
 class Directory:
     """The entries of the directory as of ``revision``.
 
+    ``complete_above`` is the revision of the first reading: removals up to it are not
+    known here, so a node at a lower revision needs the complete list.
+
     Each entry is the one of the change with the highest revision, so changes may arrive
     repeatedly and in any order. Revisions are ordinals that include the generation of
     the source.
@@ -24,11 +27,14 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.complete_above = 0
         self._changes: dict[str, EntryChange] = {}
         self._available_by_service: dict[str, tuple[TargetEntry, ...]] = {}
         self._by_address: dict[str, TargetEntry] = {}
         self._all_by_service: dict[str, frozenset[TargetEntry]] = {}
         self._relisted: set[str] = set()
+        # The latest start of each target; a change that removes it doesn't contain it.
+        self._started_ms: dict[str, int] = {}
 
     @property
     def has_relisted(self) -> bool:
@@ -48,6 +54,8 @@
 
         Targets that it doesn't contain are removed, unless a later change is known.
         """
+        if not self.revision:
+            self.complete_above = revision
         listed = {change.key: change for change in entries}
         missing = [
             EntryChange(key, revision, None)
@@ -64,9 +72,15 @@
             if known is not None and known.revision >= change.revision:
                 continue
             self._changes[change.key] = change
-            is_changed |= change.key in self._relisted
+            started_later = self._record_start(change)
+            was_relisted = change.key in self._relisted
+            is_changed |= was_relisted
             self._relisted.discard(change.key)
-            if known is not None and _relists(known, change):
+            if (
+                known is not None
+                and not started_later
+                and _relists(known, change, was_relisted)
+            ):
                 self._relisted.add(change.key)
             is_changed |= change.entry != (known.entry if known else None)
         self.revision = max(self.revision, revision)
@@ -74,7 +88,9 @@
         return self._index() if is_changed else []
 
     def changes_above(self, revision: int) -> list[EntryChange]:
-        """Return the changes that a node at ``revision`` lacks."""
+        """Return the changes that a node at ``revision`` lacks, or all of them."""
+        if revision < self.complete_above:
+            revision = 0
         return [c for c in self._changes.values() if c.revision > revision]
 
     def services(self) -> tuple[str, ...]:
@@ -93,6 +109,17 @@
         """Return all targets, including those that are leaving."""
         return [change.entry for change in self._changes.values() if change.entry]
 
+    def _record_start(self, change: EntryChange) -> bool:
+        """Record when the target started; return whether that is a later start."""
+        if change.entry is None:
+            return False
+        known_ms = self._started_ms.get(change.key)
+        started_ms = change.entry.started_wall_ms
+        if known_ms is not None and started_ms <= known_ms:
+            return False
+        self._started_ms[change.key] = started_ms
+        return known_ms is not None
+
     def _evict_removed(self) -> None:
         """Limit the number of removed targets that are retained; drop the oldest."""
         removed = [c for c in self._changes.values() if c.entry is None]
@@ -100,6 +127,7 @@
             removed.sort(key=lambda change: change.revision)
             for change in removed[: len(removed) - MAX_REMOVED]:
                 del self._changes[change.key]
+                self._started_ms.pop(change.key, None)
 
     def _index(self) -> list[str]:
         """Rebuild the indexes; return the services whose targets changed."""
@@ -136,20 +164,18 @@
         )
 
 
-def _relists(known: EntryChange, change: EntryChange) -> bool:
+def _relists(known: EntryChange, change: EntryChange, was_relisted: bool) -> bool:
     """Return whether a restored source lists a target that is known to have left.
 
-    An entry with a higher number than the known one was written after the restore.
+    ``was_relisted`` says that the known entry was listed in that way. An entry with a
+    higher number than the known one was written after the restore.
     """
     known_at, changed_at = from_ordinal(known.revision), from_ordinal(change.revision)
     if changed_at.generation <= known_at.generation or change.entry is None:
         return False
     if changed_at.revision > known_at.revision or change.entry.leaving:
         return False
-    if known.entry is None:
-        return True
-    started_later = change.entry.started_wall_ms > known.entry.started_wall_ms
-    return known.entry.leaving and not started_later
+    return known.entry is None or known.entry.leaving or was_relisted
 
 
 def _start_order(change: EntryChange) -> tuple[int, int]:
