Send a complete directory in a frame of its own

A node of an earlier version would have closed its link at each answer to its request for targets: the frame had got one more field, and frames with fields too many can't be decoded.

Changes keep their frame; the complete directory has one of its own, and is sent only to a node that holds targets and lacks removals which the sender doesn't know. A node without targets gets changes as before, and treats itself like one that has just read the store. So versions may mix, but for a node of an earlier version that asks one that has just started and has read changes which the former lacks: that link is closed and opened again.

--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -13,9 +13,6 @@
 class Directory:
     """The entries of the directory as of ``revision``.
 
-    ``complete_above`` is the revision of the first reading: removals up to it are not
-    known here, so a node at a lower revision needs the complete list.
-
     Each entry is the one of the change with the highest revision, so changes may arrive
     repeatedly and in any order. Revisions are ordinals that include the generation of
     the source.
@@ -27,7 +24,8 @@
 
     def __init__(self) -> None:
         self.revision = 0
-        self.complete_above = 0
+        # The revision of the first reading; removals up to it are not known here.
+        self._first_revision = 0
         self._changes: dict[str, EntryChange] = {}
         self._available_by_service: dict[str, tuple[TargetEntry, ...]] = {}
         self._by_address: dict[str, TargetEntry] = {}
@@ -54,8 +52,6 @@
 
         Targets that it doesn't contain are removed, unless a later change is known.
         """
-        if not self.revision:
-            self.complete_above = revision
         listed = {change.key: change for change in entries}
         missing = [
             EntryChange(key, revision, None)
@@ -66,6 +62,7 @@
 
     def apply(self, revision: int, changes: Iterable[EntryChange]) -> list[str]:
         """Apply ``changes``, complete up to ``revision``; return changed services."""
+        self._first_revision = self._first_revision or revision
         is_changed = False
         for change in changes:
             known = self._changes.get(change.key)
@@ -87,10 +84,15 @@
         self._evict_removed()
         return self._index() if is_changed else []
 
+    def has_all_changes_above(self, revision: int) -> bool:
+        """Return whether ``changes_above`` completes a directory at ``revision``.
+
+        A directory at revision 0 is empty, so removals are no changes to it.
+        """
+        return revision == 0 or revision >= self._first_revision
+
     def changes_above(self, revision: int) -> list[EntryChange]:
-        """Return the changes that a node at ``revision`` lacks, or all of them."""
-        if revision < self.complete_above:
-            revision = 0
+        """Return the changes that a node at ``revision`` lacks."""
         return [c for c in self._changes.values() if c.revision > revision]
 
     def services(self) -> tuple[str, ...]:
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -23,7 +23,7 @@
     StatusRequest,
     Submit,
 )
-from ..wire.targets import TargetsData, TargetsRequest
+from ..wire.targets import TargetsData, TargetsList, TargetsRequest
 from .clock import Clock
 from .dispatcher import Dispatcher
 from .link import Channel, finish_exchange
@@ -91,6 +91,7 @@
             StatusRequest: self._on_status_request,
             TargetsRequest: self._on_targets_request,
             TargetsData: self._on_targets_data,
+            TargetsList: self._on_targets_list,
         }
 
     def route(self, channel: Channel, frame: Frame) -> None:
@@ -162,21 +163,22 @@
             channel.send(TargetsRequest(self._directory.revision))
 
     def _on_targets_request(self, channel: Channel, request: TargetsRequest) -> None:
-        changes = self._directory.changes_above(request.above_revision)
-        channel.send(
-            TargetsData(
-                self._directory.revision,
-                tuple(changes),
-                self._directory.complete_above,
-            )
-        )
+        directory = self._directory
+        above = request.above_revision
+        if directory.has_all_changes_above(above):
+            changes = tuple(directory.changes_above(above))
+            channel.send(TargetsData(directory.revision, changes))
+        else:
+            everything = tuple(directory.changes_above(0))
+            channel.send(TargetsList(directory.revision, everything))
 
     def _on_targets_data(self, channel: Channel, data: TargetsData) -> None:
         self._targets_requested_ms = float("-inf")
-        if self._directory.revision < data.complete_above:
-            self._updates.replace(data.revision, data.changes)
-        else:
-            self._updates.change(data.revision, data.changes)
+        self._updates.change(data.revision, data.changes)
+
+    def _on_targets_list(self, channel: Channel, found: TargetsList) -> None:
+        self._targets_requested_ms = float("-inf")
+        self._updates.replace(found.revision, found.entries)
 
     def _request_newer_bundle(self, channel: Channel, order: BundleOrder) -> None:
         """Request the sender's bundle if it is above the one in force."""
--- a/src/jacinthshed/internal/wire/codec.py
+++ b/src/jacinthshed/internal/wire/codec.py
@@ -26,7 +26,7 @@
     StatusRequest,
     Submit,
 )
-from .targets import TargetsData, TargetsRequest
+from .targets import TargetsData, TargetsList, TargetsRequest
 
 PROTOCOL_VERSION = 2
 MAX_FRAME_BYTES = 8 * 1024 * 1024
@@ -48,6 +48,7 @@
     StatusData,
     TargetsRequest,
     TargetsData,
+    TargetsList,
 )
 _FRAME_TYPE_NUMBERS = {
     frame_type: number for number, frame_type in enumerate(FRAME_TYPES)
--- a/src/jacinthshed/internal/wire/frames.py
+++ b/src/jacinthshed/internal/wire/frames.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from .targets import TargetsData, TargetsRequest
+from .targets import TargetsData, TargetsList, TargetsRequest
 
 Header = tuple[bytes, bytes]
 
@@ -211,4 +211,5 @@
     | StatusData
     | TargetsRequest
     | TargetsData
+    | TargetsList
 )
--- a/src/jacinthshed/internal/wire/targets.py
+++ b/src/jacinthshed/internal/wire/targets.py
@@ -12,12 +12,18 @@
 
 
 class TargetsData(NamedTuple):
-    """All directory changes up to ``revision`` that the requesting node lacks.
+    """All directory changes up to ``revision`` that the requesting node lacks."""
 
-    For a node at a revision below ``complete_above``, they are the complete list: the
-    targets that it doesn't contain were removed.
+    revision: int
+    changes: tuple[EntryChange, ...]
+
+
+class TargetsList(NamedTuple):
+    """The complete directory as of ``revision``.
+
+    Targets that it doesn't contain were removed. It answers a request of a node at a
+    revision from which the sender doesn't have all changes.
     """
 
     revision: int
-    changes: tuple[EntryChange, ...]
-    complete_above: int = 0
+    entries: tuple[EntryChange, ...]
--- a/tests/cover/test_platform_generations.py
+++ b/tests/cover/test_platform_generations.py
@@ -129,6 +129,11 @@
     directory = Directory()
     directory.replace(7, [listed("p", 0, 3), listed("q", 0, 7)])
     directory.apply(9, [listed("r", 0, 9)])
-    keys = [change.key for change in directory.changes_above(6)]
+    assert not directory.has_all_changes_above(6)
+    keys = [change.key for change in directory.changes_above(0)]
     assert keys == ["servers/p", "servers/q", "servers/r"]
+    assert directory.has_all_changes_above(7)
     assert [change.key for change in directory.changes_above(7)] == ["servers/r"]
+    assert directory.has_all_changes_above(0)
+    empty = Directory()
+    assert empty.has_all_changes_above(0)
--- a/tests/cover/test_platform_spread.py
+++ b/tests/cover/test_platform_spread.py
@@ -9,7 +9,7 @@
 from jacinthshed.internal.discovery.target_entry import EntryChange
 from jacinthshed.internal.standin.store_state import StoreFaultMode
 from jacinthshed.internal.wire.codec import FrameBuffer, encode
-from jacinthshed.internal.wire.targets import TargetsData
+from jacinthshed.internal.wire.targets import TargetsData, TargetsList
 from tests.common.fleet import run_virtual
 from tests.common.machines import (
     Machines,
@@ -91,6 +91,7 @@
 
 def test_the_frame_of_the_directory_is_decoded_as_it_was_encoded():
     known = EntryChange("servers/p", 8, entry("p", "a"))
-    data = TargetsData(9, (known, EntryChange("servers/q", 9, None)))
-    (frame,) = FrameBuffer().feed(encode(data))
-    assert frame == data
+    for frame_type in (TargetsData, TargetsList):
+        sent = frame_type(9, (known, EntryChange("servers/q", 9, None)))
+        (frame,) = FrameBuffer().feed(encode(sent))
+        assert frame == sent
