--- a/tests/common/stuttering_server.py
+++ b/tests/common/stuttering_server.py
@@ -42,12 +42,16 @@
     late_with_answer: bool = False
 
 
-def answer(own_id, body, *, status=200, framing="length", fields=b""):
-    """Return a complete answer; ``own_id`` is ``None`` for one without an id."""
+def answer(own_id, body, *, status=200, framing="length", fields=b"", seal=None):
+    """Return a complete answer; ``own_id`` is ``None`` for one without an id.
+
+    Its seal is made of ``body``, or is ``seal``.
+    """
     head = b"HTTP/1.1 %d Any\r\nServer-Load: 1,0,8\r\n" % status
     if own_id is not None:
         head += b"Attempt-Id: %s\r\n" % own_id
-    head += b"Response-Seal: seal-%s\r\n%s" % (body, fields)
+    seal = b"seal-" + body if seal is None else seal
+    head += b"Response-Seal: %s\r\n%s" % (seal, fields)
     if framing == "length":
         return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
     if framing == "chunked":
