Accept a response field with a protocol and an IPv4 address

Callers got 502 for answers with a field such as Via: HTTP/1.1 192.0.2.7. Cause: the check for a second status line in a head took the start of the address for a status code. Evidence: test_a_field_that_names_a_protocol_and_an_address_is_returned. Why it works: a space or the end of the line follows the code of a status line. The line that the check looks for is the whole first line of the next response, so it has one of them. A field whose value has the form of a status line, as X-Upstream: HTTP/1.1 200 OK, is still rejected: its bytes are those of a late response cut inside a field, followed by the next one.

--- a/src/jacinthshed/internal/http/matching.py
+++ b/src/jacinthshed/internal/http/matching.py
@@ -7,7 +7,7 @@
 
 from .message import Headers
 
-STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}[ \r\n]")
 
 
 class Match(Enum):
