Accept an answer whose body quotes a status line and its id

Callers of servers such as echo services and log viewers got 502 for whole answers, with no way to retry a request that must not run twice. Cause: the check for a second copy inside a body looked for a status line and the request's id anywhere in it. Evidence: test_a_body_that_quotes_a_status_line_and_the_id_is_returned. The test of the copy, test_an_answer_that_stops_inside_its_body_is_not_completed_by_its_copy, passes unchanged. Why it works: the copy has the id as a field of its own head, so the check looks for that field between the status line and the next empty line. Each byte is looked at a fixed number of times. A body that quotes a response with this very id is still rejected, as its bytes are those of a copy.

--- a/src/jacinthshed/internal/http/matching.py
+++ b/src/jacinthshed/internal/http/matching.py
@@ -5,6 +5,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from .head import HEAD_END
 from .message import Headers
 
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}[ \r\n]")
@@ -48,5 +49,22 @@
         received = body + rest if rest else body
         if self.request_id not in received:
             return False
-        starts = (found.start() for found in STATUS_LINE.finditer(received))
-        return any(start < len(body) for start in starts)
+        start = 0
+        for head in received.split(HEAD_END):
+            status_line = STATUS_LINE.search(head)
+            if (
+                status_line
+                and start + status_line.start() < len(body)
+                # A whole body may quote a status line, and the id elsewhere.
+                and self._has_own_id(head[status_line.start() :])
+            ):
+                return True
+            start += len(head) + len(HEAD_END)
+        return False
+
+    def _has_own_id(self, head: bytes) -> bool:
+        for line in head.split(b"\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == self.field and value.strip() == self.request_id:
+                return True
+        return False
