Accept a response head with a line that ends with LF only

Callers got 502 for whole answers of servers that end some lines with LF, such as those of a script, which were accepted before. Cause: every bare LF was rejected, though only one before an empty line makes h11 find another end of the head than the client. Evidence: test_a_head_with_a_line_that_ends_with_lf_only_is_returned. test_a_head_with_bare_line_feeds_does_not_cut_the_body passes unchanged. Why it works: the check uses h11's own pattern for the empty line and rejects a head in which that matches before the end. RFC 9112, 2.2 lets a recipient take LF as the end of a line. Requests stay as strict, as another parser reads them.

--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -18,6 +18,8 @@
     without_hop_by_hop_fields,
 )
 
+# As in h11.
+_EMPTY_LINE = re.compile(rb"\n\r?\n")
 _IDLE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 _MS_PER_S = 1_000.0
 _NO_BODY_STATUSES = (204, 304)
@@ -48,8 +50,9 @@
     if STATUS_LINE.search(head, 1):
         raise BadResponseError("the response head contains another one")
     # h11 takes an empty line that ends with a bare LF for the end of the head.
-    if head.count(b"\n") != head.count(b"\r\n"):
-        raise BadResponseError("the response head has lines that end without CR LF")
+    empty_line = _EMPTY_LINE.search(head)
+    if empty_line is None or empty_line.end() != len(head):
+        raise BadResponseError("the response head contains an empty line")
 
 
 def read_response_head(request: Request, event: h11.Response) -> ResponseHead:
