--- a/tests/cover/test_answer_delivery.py
+++ b/tests/cover/test_answer_delivery.py
@@ -170,3 +170,8 @@
     assert check(BackendAnswer(200, headers[:1], b"body")) is None
     refusal = check(BackendAnswer(200, headers, b"body"))
     assert refusal is not None and refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_failure_with_a_content_encoding_is_forwarded():
+    check = platform_http_adapter("a").check_answer
+    assert check(BackendAnswer(500, ((b"content-encoding", b"gzip"),), b"b")) is None
--- a/tests/cover/test_answers_with_quoted_messages.py
+++ b/tests/cover/test_answers_with_quoted_messages.py
@@ -49,3 +49,12 @@
     outcomes, connections = outcomes_of(turns, TWO)
     assert [(outcome.status, outcome.body) for outcome in outcomes] == [(200, body)] * 2
     assert connections == 1
+
+
+@pytest.mark.parametrize("body", [b"zero", b"ab\r\n\r\ncd"])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_whole_answer_is_returned_if_its_copy_follows(body, framing):
+    whole = answer(b"id-0", body, framing=framing, seal=b"seal")
+    turn = Turn((whole,), late=whole, late_with_answer=True)
+    (outcome,), _ = outcomes_of([turn], TWO[:1])
+    assert (outcome.status, outcome.body) == (200, body)
