--- a/tests/cover/test_answers_of_plain_backends.py
+++ b/tests/cover/test_answers_of_plain_backends.py
@@ -43,3 +43,19 @@
     (first, second), _ = outcomes_of(turns, TWO, native_adapter())
     assert is_own(first, 200, b"zero")
     assert isinstance(second, ExchangeFailed) or is_own(second, 200, b"one")
+
+
+def test_a_backend_server_that_echoes_the_context_on_some_answers_fails_one_request():
+    requests = [(b"id-%d" % number, b"GET") for number in range(6)]
+    # The error pages of a framework, for example, may lack the header.
+    turns = [
+        Turn((answer(None, own_id, status=404),))
+        if number % 2
+        else Turn((answer(None, own_id, fields=context(own_id)),))
+        for number, (own_id, _) in enumerate(requests)
+    ]
+    outcomes, _ = outcomes_of(turns, requests, native_adapter())
+    assert isinstance(outcomes[1], ExchangeFailed)
+    expected = [(200, b"id-2"), (404, b"id-3"), (200, b"id-4"), (404, b"id-5")]
+    for outcome, (status, body) in zip(outcomes[2:], expected, strict=True):
+        assert is_own(outcome, status, body)
