Use connections once if an answer without the id was received

Callers of plain backend servers that copy Jacinthshed-Context to some answers only got 502, may have run, again and again: for a 404 of the framework, or for a 503 with the verdict not-run, which could have been tried elsewhere. Cause: such an answer can't be matched on a connection that has carried a request, and each answer with the header kept its connection open. Why it works: after the first answer without the id, no connection of the pool carries a second request, so each answer is the first on its connection. That only ever removes uses of a connection. On the platform, where servers have to echo the id, nothing changes.

--- a/src/jacinthshed/internal/http/client.py
+++ b/src/jacinthshed/internal/http/client.py
@@ -43,6 +43,9 @@
         self._slots = trio.CapacityLimiter(max_connections)
         self._idle_connections: deque[ClientConnection] = deque()
         self._closed = False
+        # A server that echoes the id on some of its responses only may send one without
+        # it on any connection, where it could not be matched.
+        self._uses_connections_once = False
 
     async def request(
         self,
@@ -147,6 +150,8 @@
     def _is_usable(
         self, connection: ClientConnection, matcher: ResponseMatcher | None
     ) -> bool:
+        if self._uses_connections_once:
+            return False
         if matcher is not None and connection.has_carried(matcher.request_id):
             return False
         limit_ms = connection.idle_limit_ms
@@ -176,7 +181,9 @@
             await trio.aclose_forcefully(self._idle_connections.popleft().stream)
 
     async def _release_connection(self, connection: ClientConnection) -> None:
-        if connection.reusable and not self._closed:
+        self._uses_connections_once |= connection.lacked_id
+        is_reusable = connection.reusable and not self._uses_connections_once
+        if is_reusable and not self._closed:
             connection.idle_since_s = trio.current_time()
             self._idle_connections.append(connection)
             return
--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -35,7 +35,8 @@
     """A connection that carries one exchange at a time.
 
     ``sent`` is true once the current request was passed to the socket, ``reusable``
-    when the last exchange left the connection in a state for another one.
+    when the last exchange left the connection in a state for another one. ``lacked_id``
+    is true once a response that need not have an id had none.
     ``idle_since_s`` is on trio's clock. ``idle_limit_ms`` is how long the server keeps
     an idle connection open, or ``None`` when it has not announced that.
     """
@@ -44,6 +45,7 @@
         self.stream = stream
         self.sent = False
         self.reusable = True
+        self.lacked_id = False
         self.idle_since_s = 0.0
         self.idle_limit_ms: float | None = None
         self._is_new = True
@@ -85,6 +87,7 @@
                 self.reusable = keeps_open and not self._received and not mismatched
                 return response
             if match is Match.UNKNOWN:
+                self.lacked_id = matcher is not None and matcher.is_echo_optional
                 if is_new and not mismatched:
                     return response
                 raise BadResponseError("the response may be to an earlier request")
--- a/src/jacinthshed/internal/http/matching.py
+++ b/src/jacinthshed/internal/http/matching.py
@@ -31,6 +31,11 @@
     field: bytes
     may_lack_id: Callable[[Headers], bool]
 
+    @property
+    def is_echo_optional(self) -> bool:
+        """Whether the server need not echo the id at all."""
+        return self.may_lack_id(())
+
     def match(self, headers: Headers) -> Match:
         """Return whether a response with these ``headers`` answers the request."""
         echoed = [value for name, value in headers if name == self.field]
