Test which connections are used after an answer without the id

One fails if idle connections are used after it, the other if a refusal without an id on the platform has the same effect. The builder of exchanges can send the first requests at the same time.

--- a/tests/common/stuttering_server.py
+++ b/tests/common/stuttering_server.py
@@ -173,31 +173,38 @@
     )
 
 
-def outcomes_of(turns, requests, adapter=None):
+def outcomes_of(turns, requests, adapter=None, *, together=1):
     """Send ``requests``, pairs of id and method, one after another through a pool.
 
-    The server has one turn for each. Return their outcomes and how many connections
-    were opened.
+    The first ``together`` of them are sent at the same time. The server has one turn
+    for each. Return their outcomes and how many connections were opened.
     """
     adapter = adapter or platform_http_adapter("a")
+    outcomes = [None] * len(requests)
 
     async def main():
         async with trio.open_nursery() as nursery:
             ids = [own_id for own_id, _ in requests]
             pairs = zip(ids, turns, strict=True)
             server = StutteringServer(pairs, nursery)
-            pool = BackendPool(connect=server.connect, address="x", max_connections=1)
-            outcomes = []
-            for own_id, method in requests:
-                submit = submit_of(own_id, method)
-                outcomes.append(
-                    await pool.request(
-                        adapter.backend_request(submit, TIMEOUT_MS),
-                        timeout_ms=TIMEOUT_MS,
-                        max_body_bytes=10_000,
-                        matcher=adapter.matcher(submit),
-                    )
+            pool = BackendPool(
+                connect=server.connect, address="x", max_connections=together
+            )
+
+            async def send(number):
+                submit = submit_of(*requests[number])
+                outcomes[number] = await pool.request(
+                    adapter.backend_request(submit, TIMEOUT_MS),
+                    timeout_ms=TIMEOUT_MS,
+                    max_body_bytes=10_000,
+                    matcher=adapter.matcher(submit),
                 )
+
+            async with trio.open_nursery() as first:
+                for number in range(together):
+                    first.start_soon(send, number)
+            for number in range(together, len(requests)):
+                await send(number)
             nursery.cancel_scope.cancel()
         return outcomes, server.connections
 
--- a/tests/cover/test_answers_of_plain_backends.py
+++ b/tests/cover/test_answers_of_plain_backends.py
@@ -59,3 +59,13 @@
     expected = [(200, b"id-2"), (404, b"id-3"), (200, b"id-4"), (404, b"id-5")]
     for outcome, (status, body) in zip(outcomes[2:], expected, strict=True):
         assert is_own(outcome, status, body)
+
+
+def test_connections_that_are_idle_when_an_id_is_missing_are_not_used_again():
+    requests = [(b"id-%d" % number, b"GET") for number in range(4)]
+    turns = [Turn((answer(None, n, fields=context(n)),)) for n, _ in requests]
+    turns[2] = Turn((answer(None, b"id-2", status=404),))
+    outcomes, connections = outcomes_of(turns, requests, native_adapter(), together=2)
+    assert isinstance(outcomes[2], ExchangeFailed)
+    assert is_own(outcomes[3], 200, b"id-3")
+    assert connections == 3
--- a/tests/cover/test_answers_on_kept_connections.py
+++ b/tests/cover/test_answers_on_kept_connections.py
@@ -57,3 +57,14 @@
         (_, second), _ = outcomes_of(turns, [ZERO, ONE])
         is_failure = isinstance(second, ExchangeFailed)
         assert is_failure or is_own(second, 500, b"one"), late[:length]
+
+
+def test_later_connections_are_kept_after_a_refusal_without_an_id():
+    turns = [
+        Turn((answer(None, b"full", status=503, fields=NOT_EXECUTED),)),
+        Turn((answer(b"id-1", b"one"),)),
+        Turn((answer(b"id-2", b"two"),)),
+    ]
+    outcomes, connections = outcomes_of(turns, [ZERO, ONE, TWO])
+    assert [outcome.status for outcome in outcomes] == [503, 200, 200]
+    assert connections == 2
