--- a/tests/cover/test_answers_on_kept_connections.py
+++ b/tests/cover/test_answers_on_kept_connections.py
@@ -68,3 +68,15 @@
     outcomes, connections = outcomes_of(turns, [ZERO, ONE, TWO])
     assert [outcome.status for outcome in outcomes] == [503, 200, 200]
     assert connections == 2
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("body", [b"0123456789", b"x" * 300])
+def test_an_answer_is_not_completed_by_a_late_one_to_an_earlier_request(framing, body):
+    late = answer(b"id-0", b"zero")
+    own = answer(b"id-1", body, framing=framing)
+    for length in range(len(own)):
+        turns = [Turn((late,)), Turn((own[:length], late, own[length:]))]
+        (_, second), _ = outcomes_of(turns, [ZERO, ONE])
+        is_failure = isinstance(second, ExchangeFailed)
+        assert is_failure or is_own(second, 200, body), own[:length]
