Fail an answer in whose body a late one to an earlier request begins

Callers could get a success with the receipt and the length of their answer and the bytes of another one. A server that writes a late second answer between two parts of the next one completes that with the bytes of the late one.

--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -112,7 +112,10 @@
         return Response(head.status, head.headers, body), head.keeps_open
 
     def _check_body(self, response: Response, matcher: ResponseMatcher | None) -> None:
-        if matcher and matcher.begins_again_in(response.body, bytes(self._received)):
+        if matcher is None:
+            return
+        rest = bytes(self._received)
+        if matcher.finds_response_in(response.body, rest, self._carried_ids):
             raise BadResponseError("the response body contains a second response")
 
     def is_closed_by_peer(self) -> bool:
--- a/src/jacinthshed/internal/http/matching.py
+++ b/src/jacinthshed/internal/http/matching.py
@@ -1,13 +1,14 @@
 """Matches the responses on a reused connection to the requests sent on it."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, auto
 from typing import NamedTuple
 
 from .head import HEAD_END
 from .message import Headers
 
+_STATUS_LINE_START = b"HTTP/"
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}[ \r\n]")
 
 
@@ -44,16 +45,19 @@
         is_own = all(value == self.request_id for value in echoed)
         return Match.OWN if is_own else Match.OTHER
 
-    def begins_again_in(self, body: bytes, rest: bytes) -> bool:
-        """Return whether a second response to the request begins inside ``body``.
+    def finds_response_in(
+        self, body: bytes, rest: bytes, sent_ids: Collection[bytes]
+    ) -> bool:
+        """Return whether a response to one of ``sent_ids`` begins inside ``body``.
 
-        A server that stops inside a response and then sends it once more completes it
-        with the bytes of the copy. ``rest`` is what was received after the body; the
-        id in the copy may be in it.
+        A server that stops inside a response and then sends a late one, or the same
+        once more, completes the first with the bytes of the second. ``rest`` is what
+        was received after the body; the id in the second may be in it.
         """
         received = body + rest if rest else body
-        if self.request_id not in received:
+        if _STATUS_LINE_START not in received:
             return False
+        ids = frozenset(sent_ids)
         start = 0
         for head in received.split(HEAD_END):
             status_line = STATUS_LINE.search(head)
@@ -61,15 +65,15 @@
                 status_line
                 and start + status_line.start() < len(body)
                 # A whole body may quote a status line, and the id elsewhere.
-                and self._has_own_id(head[status_line.start() :])
+                and self._has_id(head[status_line.start() :], ids)
             ):
                 return True
             start += len(head) + len(HEAD_END)
         return False
 
-    def _has_own_id(self, head: bytes) -> bool:
+    def _has_id(self, head: bytes, ids: frozenset[bytes]) -> bool:
         for line in head.split(b"\n"):
             name, _, value = line.partition(b":")
-            if name.lower() == self.field and value.strip() == self.request_id:
+            if name.lower() == self.field and value.strip() in ids:
                 return True
         return False
