--- a/tests/common/stuttering_server.py
+++ b/tests/common/stuttering_server.py
@@ -42,12 +42,16 @@
     late_with_answer: bool = False
 
 
-def answer(own_id, body, *, status=200, framing="length", fields=b""):
-    """Return a complete answer; ``own_id`` is ``None`` for one without an id."""
+def answer(own_id, body, *, status=200, framing="length", fields=b"", seal=None):
+    """Return a complete answer; ``own_id`` is ``None`` for one without an id.
+
+    Its seal is made of ``body``, or is ``seal``.
+    """
     head = b"HTTP/1.1 %d Any\r\nServer-Load: 1,0,8\r\n" % status
     if own_id is not None:
         head += b"Attempt-Id: %s\r\n" % own_id
-    head += b"Response-Seal: seal-%s\r\n%s" % (body, fields)
+    seal = b"seal-" + body if seal is None else seal
+    head += b"Response-Seal: %s\r\n%s" % (seal, fields)
     if framing == "length":
         return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
     if framing == "chunked":
@@ -169,31 +173,38 @@
     )
 
 
-def outcomes_of(turns, requests, adapter=None):
+def outcomes_of(turns, requests, adapter=None, *, together=1):
     """Send ``requests``, pairs of id and method, one after another through a pool.
 
-    The server has one turn for each. Return their outcomes and how many connections
-    were opened.
+    The first ``together`` of them are sent at the same time. The server has one turn
+    for each. Return their outcomes and how many connections were opened.
     """
     adapter = adapter or platform_http_adapter("a")
+    outcomes = [None] * len(requests)
 
     async def main():
         async with trio.open_nursery() as nursery:
             ids = [own_id for own_id, _ in requests]
             pairs = zip(ids, turns, strict=True)
             server = StutteringServer(pairs, nursery)
-            pool = BackendPool(connect=server.connect, address="x", max_connections=1)
-            outcomes = []
-            for own_id, method in requests:
-                submit = submit_of(own_id, method)
-                outcomes.append(
-                    await pool.request(
-                        adapter.backend_request(submit, TIMEOUT_MS),
-                        timeout_ms=TIMEOUT_MS,
-                        max_body_bytes=10_000,
-                        matcher=adapter.matcher(submit),
-                    )
+            pool = BackendPool(
+                connect=server.connect, address="x", max_connections=together
+            )
+
+            async def send(number):
+                submit = submit_of(*requests[number])
+                outcomes[number] = await pool.request(
+                    adapter.backend_request(submit, TIMEOUT_MS),
+                    timeout_ms=TIMEOUT_MS,
+                    max_body_bytes=10_000,
+                    matcher=adapter.matcher(submit),
                 )
+
+            async with trio.open_nursery() as first:
+                for number in range(together):
+                    first.start_soon(send, number)
+            for number in range(together, len(requests)):
+                await send(number)
             nursery.cancel_scope.cancel()
         return outcomes, server.connections
 
--- a/tests/cover/test_answers_of_plain_backends.py
+++ b/tests/cover/test_answers_of_plain_backends.py
@@ -43,3 +43,29 @@
     (first, second), _ = outcomes_of(turns, TWO, native_adapter())
     assert is_own(first, 200, b"zero")
     assert isinstance(second, ExchangeFailed) or is_own(second, 200, b"one")
+
+
+def test_a_backend_server_that_echoes_the_context_on_some_answers_fails_one_request():
+    requests = [(b"id-%d" % number, b"GET") for number in range(6)]
+    # The error pages of a framework, for example, may lack the header.
+    turns = [
+        Turn((answer(None, own_id, status=404),))
+        if number % 2
+        else Turn((answer(None, own_id, fields=context(own_id)),))
+        for number, (own_id, _) in enumerate(requests)
+    ]
+    outcomes, _ = outcomes_of(turns, requests, native_adapter())
+    assert isinstance(outcomes[1], ExchangeFailed)
+    expected = [(200, b"id-2"), (404, b"id-3"), (200, b"id-4"), (404, b"id-5")]
+    for outcome, (status, body) in zip(outcomes[2:], expected, strict=True):
+        assert is_own(outcome, status, body)
+
+
+def test_connections_that_are_idle_when_an_id_is_missing_are_not_used_again():
+    requests = [(b"id-%d" % number, b"GET") for number in range(4)]
+    turns = [Turn((answer(None, n, fields=context(n)),)) for n, _ in requests]
+    turns[2] = Turn((answer(None, b"id-2", status=404),))
+    outcomes, connections = outcomes_of(turns, requests, native_adapter(), together=2)
+    assert isinstance(outcomes[2], ExchangeFailed)
+    assert is_own(outcomes[3], 200, b"id-3")
+    assert connections == 3
