--- a/src/jacinthshed/internal/flow/copies.py
+++ b/src/jacinthshed/internal/flow/copies.py
@@ -25,13 +25,13 @@
 
 
 def join_by_id(
-    known: Job, link: int, submit: Submit, crash_fingerprint: int
+    known: Job, link: int, submit: Submit, fingerprint: int
 ) -> list[TargetAction]:
     """Let ``submit`` wait for the reply to ``known``, which has the same request id.
 
     Another request with that id is refused: the answer belongs to ``known`` only.
     """
-    if crash_fingerprint != known.fingerprint:
+    if fingerprint != known.fingerprint:
         return [_refusal_to(link, submit, DUPLICATE_ID)]
     add_waiter(known, link, submit)
     return []
--- a/src/jacinthshed/internal/http/response_head.py
+++ b/src/jacinthshed/internal/http/response_head.py
@@ -43,9 +43,9 @@
 def check_response_head(head: bytes) -> None:
     """Check that ``head``, up to its empty line, is that of one response.
 
-    The end of an earlier response that a server sends late, and in part, may precede
-    the next one without a line break. The two would be read as one response, with the
-    status of the first. Raises ``BadResponseError``.
+    A server may send a part of an earlier response late, and the next response right
+    after it. The two would be read as one response, with the status of the first.
+    Raises ``BadResponseError``.
     """
     if STATUS_LINE.search(head, 1):
         raise BadResponseError("the response head contains another one")
