Close a link whose stream is closed while a frame is sent on it

A node ended by itself, and with it all requests that it was handling.

Cause: a link's stream is closed some moments before the link counts as closed. A frame sent in between, by the membership task for instance, raised trio.ClosedResourceError, where only OSError was taken for a broken connection; the error ended the node.

Both errors now close the link, which ends its exchanges as a broken connection does.

--- a/src/jacinthshed/internal/http/network.py
+++ b/src/jacinthshed/internal/http/network.py
@@ -56,7 +56,8 @@
     """Send as much of ``data`` as possible without waiting; return the bytes sent.
 
     The result is 0 when ``stream`` is not a TCP stream. No other send may be in
-    progress. Raises ``OSError`` when the connection is broken.
+    progress. Raises ``OSError`` when the connection is broken, and
+    ``trio.ClosedResourceError`` when it was closed on this side.
     """
     return stream.send_now(data) if isinstance(stream, TcpStream) else 0
 
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -119,7 +119,7 @@
             return data
         try:
             return data[send_now(self._stream, data) :]
-        except OSError:
+        except (OSError, trio.ClosedResourceError):
             self.close()
             return b""
 
