--- a/src/jacinthshed/internal/http/exchange.py
+++ b/src/jacinthshed/internal/http/exchange.py
@@ -68,14 +68,8 @@
         ``BadResponseError``, ``h11.LocalProtocolError`` when the request can't be
         encoded, and trio's errors of a broken stream.
         """
-        self.sent = False
-        self.reusable = False
-        protocol, data = _encode(request)
-        self.sent = True
-        is_new, self._is_new = self._is_new, False
-        if matcher is not None:
-            self._carried_ids.append(matcher.request_id)
-        await self.stream.send_all(data)
+        is_new = self._is_new
+        protocol = await self._send(request, matcher)
         for mismatched in range(_MAX_MISMATCHED_RESPONSES + 1):
             response, keeps_open = await self._read_response(
                 request, protocol, max_body_bytes, on_interim
@@ -96,6 +90,20 @@
             protocol = _protocol_for(request.method)
         raise BadResponseError("the response does not match the request")
 
+    async def _send(
+        self, request: Request, matcher: ResponseMatcher | None
+    ) -> h11.Connection:
+        """Send ``request``; return the connection that parses its response."""
+        self.sent = False
+        self.reusable = False
+        protocol, data = _encode(request)
+        self.sent = True
+        self._is_new = False
+        if matcher is not None:
+            self._carried_ids.append(matcher.request_id)
+        await self.stream.send_all(data)
+        return protocol
+
     async def _read_response(
         self,
         request: Request,
