Tell a hung call to the platform and a silent link apart in logs and metrics

Whether a late policy was read late or spread late could not be seen: a link that delivers nothing was given up without a line, and no figure gave the age of the platform's last answer.

New: the line link_silent, the fields action and waited_ms of platform_failed, and the gauges platform.answer_age_ms, directory.revision and directory.targets. No decision changes.

--- a/src/jacinthshed/internal/membership/link_health.py
+++ b/src/jacinthshed/internal/membership/link_health.py
@@ -57,6 +57,10 @@
             return False
         return now_ms - self._waiting_since_ms >= self._policy.silent_after_ms
 
+    def silent_ms(self, now_ms: float) -> float:
+        """Return the time since the last frame of the peer."""
+        return now_ms - self._last_frame_ms
+
     def _start_waiting(self, now_ms: float) -> None:
         if self._waiting_since_ms is None:
             self._waiting_since_ms = now_ms
--- a/src/jacinthshed/internal/node/feed_task.py
+++ b/src/jacinthshed/internal/node/feed_task.py
@@ -60,15 +60,22 @@
 
     async def _take_turn(self, action: ReadAction) -> bool:
         """Read or watch once and apply the result; return whether it succeeded."""
+        called_ms = self._clock.now_ms()
         if action is ReadAction.WATCH:
             result = await self._feed.watch(self._watch_ms())
         else:
             result = await self._feed.read()
         if isinstance(result, Failure):
+            now_ms = self._clock.now_ms()
             if self._failing_since_ms is None:
-                self._failing_since_ms = self._clock.now_ms()
-            reason = str(result.failure())
-            self._log("platform_failed", key=self._feed.key, reason=reason)
+                self._failing_since_ms = now_ms
+            self._log(
+                "platform_failed",
+                key=self._feed.key,
+                action=action,
+                reason=str(result.failure()),
+                waited_ms=round(now_ms - called_ms),
+            )
             return False
         self.has_answered = True
         self._recovered()
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -128,8 +128,12 @@
         self.closed = True
         self._scope.cancel()
 
-    def tick(self, now_ms: float) -> None:
-        """Send a heartbeat if one is due; close the link if the peer is silent."""
+    def tick(self, now_ms: float) -> bool:
+        """Send a heartbeat if one is due; close the link if the peer is silent.
+
+        Return whether the peer was found to be silent just now.
+        """
+        was_silent = self.silent
         hello_overdue = (
             self.peer is None and now_ms - self._opened_ms > self._hello_timeout_ms
         )
@@ -141,6 +145,7 @@
             self._heartbeat_sequence += 1
             self.send(Heartbeat(self._heartbeat_sequence, echo=True))
             self.health.heartbeat_sent(now_ms)
+        return self.silent and not was_silent
 
     def _retire(self) -> None:
         """End the exchanges whose requests may be repeated elsewhere.
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -17,7 +17,7 @@
 from ..telemetry.log import LogDecision
 from ..wire.frames import Gossip, Leaving, MemberRecord
 from .clock import MS_PER_S, Clock
-from .link import Channel
+from .link import Channel, Link
 from .links import LinkTable
 
 TICK_MS = 100.0
@@ -188,7 +188,8 @@
     def _tick(self, now_ms: float) -> None:
         self._detect_pause(now_ms)
         for link in self._links.stream_links():
-            link.tick(now_ms)
+            if link.tick(now_ms):
+                self._log_silent(now_ms, link)
         outranked = self._view.outranked_by
         if outranked is not None and self._view.self_record.state == LIVE:
             self._renew(now_ms, outranked.incarnation)
@@ -199,6 +200,14 @@
         self._send(self._gossiper.tick(now_ms))
         self._publish_changes()
 
+    def _log_silent(self, now_ms: float, link: Link) -> None:
+        self._log(
+            "link_silent",
+            host=link.peer.record.host if link.peer else "",
+            silent_ms=round(link.health.silent_ms(now_ms)),
+            outstanding=link.health.outstanding,
+        )
+
     def _renew(self, now_ms: float, known_incarnation: int) -> None:
         """Take a higher incarnation after peers recorded that this one ended.
 
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -80,9 +80,9 @@
         if self._components is None:
             return {}
         components = self._components
-        return node_gauges(
-            components.state, components.holder, components.gateway.in_flight
-        )
+        age_ms = self._reader.answer_age_ms(self._clock.now_ms())
+        in_flight = components.gateway.in_flight
+        return node_gauges(components.state, components.holder, in_flight, age_ms)
 
     def leave(self) -> None:
         """Begin a graceful shutdown; ``run`` returns when it is complete."""
--- a/src/jacinthshed/internal/node/status.py
+++ b/src/jacinthshed/internal/node/status.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..discovery.source_revision import from_ordinal
 from .policy_holder import PolicyHolder
 from .state import NodeState
 
@@ -45,9 +46,15 @@
 
 
 def node_gauges(
-    state: NodeState, holder: PolicyHolder, in_flight: int
+    state: NodeState,
+    holder: PolicyHolder,
+    in_flight: int,
+    platform_age_ms: float | None,
 ) -> dict[str, float]:
-    """Return the node's current gauges by metric name."""
+    """Return the node's current gauges by metric name.
+
+    ``platform_age_ms`` is the age of the platform's last answer to any node, if known.
+    """
     return {
         "admission.limit": state.admission.limit,
         "admission.running": state.admission.in_flight,
@@ -55,4 +62,7 @@
         "calls.in_flight": in_flight,
         "members": len(state.view.hosts()) + 1,
         "bundle.version": holder.order.version,
+        "platform.answer_age_ms": -1 if platform_age_ms is None else platform_age_ms,
+        "directory.revision": from_ordinal(state.directory.revision).revision,
+        "directory.targets": len(state.directory.entries()),
     }
