--- a/tests/common/machines.py
+++ b/tests/common/machines.py
@@ -86,11 +86,15 @@
 
 
 class Machines:
-    """Machines by IP address, each with a target and a node."""
+    """Machines by IP address, each with a target and a node.
 
-    def __init__(self, nursery):
+    ``seed`` varies the random choices of the nodes.
+    """
+
+    def __init__(self, nursery, *, seed=""):
         self.nursery = nursery
-        self.network = memory_network()
+        self.seed = seed
+        self.network = self.memory_network = memory_network()
         self.store = StoreState()
         self.targets = {}
         self.nodes = {}
@@ -138,7 +142,7 @@
             settings=settings,
             integration=store_integration(settings, settings.store),
             network=self.network,
-            random=random.Random(ip),
+            random=random.Random(f"{ip}{self.seed}"),
             log=lambda event, **fields: lines.append({"event": event, **fields}),
             clock=Clock(trio_now_ms, lambda: self.wall_ms(ip)),
         )
