End the waits of the readers one after the other

Cause (hypothesis 1): a watch whose connection delivers nothing any more ends only with its wait of 5 s and 1.5 s more. A change ends the watches of all readers at once, so their next waits were in step: for up to 6.5 s no node of the fleet began a call that could be answered.

After a change, the wait of each reader is a part of the full one by its rank in the fleet, and full again after that. So one of them begins a call within the wait divided by their number, and gossip tells the rest. This costs one shorter call a change, not more calls while nothing changes. A call that does not wait is given up after 0.8 s instead of 1.5 s; a store that is sixty times slower than usual answers in about 0.25 s.

--- a/src/jacinthshed/internal/bundle/model.py
+++ b/src/jacinthshed/internal/bundle/model.py
@@ -158,10 +158,11 @@
     """Readers of the platform's configuration service.
 
     ``per_zone`` nodes of each availability zone keep a watch of at most ``watch_ms``
-    open. All nodes together read at most ``reads_per_s`` times per second, and each
-    node at most ``node_reads_per_s`` times, even if it knows few other nodes. Further
-    nodes read when no answer is known for ``quiet_after_ms``. ``max_backoff_ms`` limits
-    the wait after consecutive failures.
+    open; after a change, their waits end one after the other. All nodes together read
+    at most ``reads_per_s`` times per second, and each node at most ``node_reads_per_s``
+    times, even if it knows few other nodes. Further nodes read when no answer is known
+    for ``quiet_after_ms``. ``max_backoff_ms`` limits the wait after consecutive
+    failures.
 
     A node has fewer than ``per_zone`` readers in its zone where fewer are enough for
     ``fleet_readers`` in all zones together; 0 means that ``per_zone`` always applies.
--- a/src/jacinthshed/internal/bundle/read_scheduler.py
+++ b/src/jacinthshed/internal/bundle/read_scheduler.py
@@ -41,12 +41,14 @@
 class ReadDecision(NamedTuple):
     """An action to take now, or a wait of ``wait_ms`` before the next decision.
 
-    ``reason`` is a short text that explains the decision.
+    ``reason`` is a short text that explains the decision, and ``watch_ms`` the longest
+    wait of a watch.
     """
 
     action: ReadAction
     wait_ms: float
     reason: str
+    watch_ms: int = 0
 
 
 class _KeyState:
@@ -54,11 +56,15 @@
 
     ``called_ms`` is when its last call started, ``settled_ms`` the time until which the
     node doesn't know its rank, and ``not_before_ms`` the earliest start of a call.
+    ``watch_ms`` is the longest wait of the last call, and ``is_in_step`` whether the
+    readers' calls end at the same time, as they do when a change ends them.
     """
 
     def __init__(self, not_before_ms: float) -> None:
         self.read_once = False
         self.called_ms = not_before_ms
+        self.watch_ms = 0
+        self.is_in_step = True
         self.settled_ms = inf
         self.failures = 0
         self.not_before_ms = not_before_ms
@@ -142,7 +148,8 @@
             wait_ms = self._budget.wait_ms(now_ms)
             if self._budget.take(now_ms):
                 state.called_ms = now_ms
-                return ReadDecision(action, 0.0, reason)
+                state.watch_ms = self._watch_ms(action, state)
+                return ReadDecision(action, 0.0, reason, state.watch_ms)
             reason = "budget"
         return ReadDecision(
             ReadAction.WAIT, min(max(wait_ms, 1.0), MAX_WAIT_MS), reason
@@ -154,6 +161,7 @@
         ``answered`` is true when the platform answered, even without a change.
         """
         state = self._keys[key]
+        state.is_in_step = now_ms - state.called_ms < state.watch_ms or not answered
         if answered:
             if not state.read_once:
                 state.settled_ms = now_ms + self._policy.settle_ms
@@ -202,6 +210,21 @@
         share = math.ceil(policy.fleet_readers / self._rank.zones)
         return min(policy.per_zone, share)
 
+    def _watch_ms(self, action: ReadAction, state: _KeyState) -> int:
+        """Return the longest wait of the next call.
+
+        A watch on a connection that goes silent is given up when its wait is over. The
+        waits of the readers end one after the other, so that such a silence of all
+        connections is noticed within a part of a wait.
+        """
+        if action is not ReadAction.WATCH:
+            return 0
+        if not state.is_in_step:
+            return self._policy.watch_ms
+        readers = self._readers_in_zone() * self._rank.zones
+        place = min(self._rank.rank_in_fleet + 1, readers)
+        return self._policy.watch_ms * place // readers
+
     def _batch_ms(self) -> float:
         """Return the time between the starts of two calls for the same key.
 
--- a/src/jacinthshed/internal/bundle/reader_rank.py
+++ b/src/jacinthshed/internal/bundle/reader_rank.py
@@ -38,6 +38,15 @@
         """Number of availability zones with live hosts, including this node's."""
         return len({self._availability_zone, *self._zone_of.values()})
 
+    @property
+    def rank_in_fleet(self) -> int:
+        """Rank among the hosts of all zones, if each zone has equally many.
+
+        The first of each zone come first, ordered by zone.
+        """
+        zones = sorted({self._availability_zone, *self._zone_of.values()})
+        return self.rank * len(zones) + zones.index(self._availability_zone)
+
     def add(self, host: str, availability_zone: str) -> None:
         """Record that ``host`` is live."""
         if host == self._host:
--- a/src/jacinthshed/internal/node/feed_setup.py
+++ b/src/jacinthshed/internal/node/feed_setup.py
@@ -3,14 +3,12 @@
 from collections.abc import Callable
 from random import Random
 
-from ..bundle.model import ReaderPolicy
 from ..bundle.read_scheduler import ReadScheduler
 from ..discovery.publication import Publication, Sinks
 from ..settings.model import NodeSettings
 from .clock import Clock
 from .environment import Environment
 from .feed_task import FeedTask
-from .policy_holder import PolicyHolder
 
 
 def build_platform_reader(
@@ -31,24 +29,17 @@
 def build_feed_tasks(
     *,
     env: Environment,
-    holder: PolicyHolder,
     reader: ReadScheduler,
     sinks: Sinks,
     on_recovered: Callable[[float], None],
 ) -> list[FeedTask]:
     """Return one task for each feed of the publication."""
-
-    def watch_ms() -> int:
-        policy = holder.current()
-        return (policy.bundle.readers if policy else ReaderPolicy()).watch_ms
-
     feeds = env.publication.feeds(env.network.connect, sinks, env.log)
     return [
         FeedTask(
             feed=feed,
             reader=reader,
             clock=env.clock,
-            watch_ms=watch_ms,
             on_recovered=on_recovered,
             log=env.log,
         )
--- a/src/jacinthshed/internal/node/feed_task.py
+++ b/src/jacinthshed/internal/node/feed_task.py
@@ -5,7 +5,7 @@
 import trio
 from returns.result import Failure
 
-from ..bundle.read_scheduler import ReadAction, ReadScheduler
+from ..bundle.read_scheduler import ReadAction, ReadDecision, ReadScheduler
 from ..discovery.feed import Feed
 from ..telemetry.log import LogDecision, get_logger
 from .clock import MS_PER_S, Clock
@@ -27,14 +27,12 @@
         feed: Feed,
         reader: ReadScheduler,
         clock: Clock,
-        watch_ms: Callable[[], int],
         on_recovered: Callable[[float], None],
         log: LogDecision,
     ) -> None:
         self._feed = feed
         self._reader = reader
         self._clock = clock
-        self._watch_ms = watch_ms
         self._log = log
         self._on_recovered = on_recovered
         self._failing_since_ms: float | None = None
@@ -50,7 +48,7 @@
                 await trio.sleep(turn.wait_ms / MS_PER_S)
                 continue
             try:
-                answered = await self._take_turn(turn.action)
+                answered = await self._take_turn(turn)
             except Exception:
                 # What was read must not end the process; the node keeps what it knows.
                 log.exception("reading failed", key=key)
@@ -58,11 +56,11 @@
             self._reader.read_finished(self._clock.now_ms(), key, answered=answered)
             self.attempted.set()
 
-    async def _take_turn(self, action: ReadAction) -> bool:
+    async def _take_turn(self, turn: ReadDecision) -> bool:
         """Read or watch once and apply the result; return whether it succeeded."""
         called_ms = self._clock.now_ms()
-        if action is ReadAction.WATCH:
-            result = await self._feed.watch(self._watch_ms())
+        if turn.action is ReadAction.WATCH:
+            result = await self._feed.watch(turn.watch_ms)
         else:
             result = await self._feed.read()
         if isinstance(result, Failure):
@@ -72,7 +70,7 @@
             self._log(
                 "platform_failed",
                 key=self._feed.key,
-                action=action,
+                action=turn.action,
                 reason=str(result.failure()),
                 waited_ms=round(now_ms - called_ms),
             )
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -195,7 +195,6 @@
         """
         tasks = build_feed_tasks(
             env=self._env,
-            holder=components.holder,
             reader=self._reader,
             sinks=make_sinks(components.holder, components.updates, self._take_hosts),
             on_recovered=components.updates.source_recovered,
--- a/src/jacinthshed/internal/platform/integration.py
+++ b/src/jacinthshed/internal/platform/integration.py
@@ -20,8 +20,9 @@
 # has to serve soon; on the first start of all, the targets have yet to be listed.
 START_WINDOW_MS = 100.0
 FIRST_START_WINDOW_MS = 2_000.0
-# A watch whose connection is dead is detected after this time plus the timeout of a
-# call.
+# A silence of all connections is noticed after this time divided by the number of
+# readers, plus the timeout of a call. The platform allows three seconds for that, for
+# the next call and for gossip.
 WATCH_MS = 5_000
 # Lets a node read each of several changes in a row within a fraction of a second.
 NODE_READS_PER_S = 5.0
--- a/src/jacinthshed/internal/platform/store.py
+++ b/src/jacinthshed/internal/platform/store.py
@@ -30,9 +30,9 @@
 
 # A page holds about 500 items, or 1 MB of them, and the JSON around them.
 MAX_BODY_BYTES = 4 * 1024 * 1024
-# An answer usually takes a few milliseconds; a short timeout detects dead connections
-# early.
-READ_TIMEOUT_MS = 1_500
+# An answer usually takes a few milliseconds, from a slow store some hundreds. Calls
+# that were sent during an outage are given up after this time.
+READ_TIMEOUT_MS = 800
 # A directory of a thousand targets takes three pages.
 MAX_PAGES = 64
 
--- a/tests/cover/test_bundle_readers.py
+++ b/tests/cover/test_bundle_readers.py
@@ -228,3 +228,23 @@
     assert budget.take(0.0)
     assert not budget.take(3_600_000.0)
     assert budget.wait_ms(3_600_000.0) == inf
+
+
+def test_readers_that_a_change_woke_end_their_next_watches_in_step():
+    # All of them would learn at the same time that their connections are dead.
+    policy = ReaderPolicy(watch_ms=4_000, fleet_readers=4, node_reads_per_s=50.0)
+    waits = []
+    for zone in "abcd":
+        scheduler = new_scheduler("me", zone=zone, policy=policy)
+        for other in "abcd":
+            scheduler.member_up(0.0, f"other-{other}", other)
+        if scheduler.rank:
+            scheduler.member_down(0.0, f"other-{zone}")
+        read_at_start(scheduler)
+        first = scheduler.decide(20_000, "hosts")
+        assert first.action is ReadAction.WATCH
+        scheduler.read_finished(20_000 + first.watch_ms, "hosts", answered=True)
+        assert scheduler.decide(30_000, "hosts").watch_ms == policy.watch_ms
+        scheduler.read_finished(31_000, "hosts", answered=True)
+        waits.append(scheduler.decide(32_000, "hosts").watch_ms)
+    assert sorted(waits) == [1_000, 2_000, 3_000, 4_000]
