Detect links that go silent while they carry only gossip

Gossip sent on an idle link that no longer delivered was lost without a sign. While no target is known there are no requests, so that all links are idle.

A link to a gossip neighbour, of which a node has four, gets a heartbeat after half a second without a frame, so that its silence is noticed after two seconds. The node then opens another and sends a digest on it, which brings both ends up to date. Gossip goes to neighbours and to links that have delivered lately, and a peer that lacks changes of targets is answered.

--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -48,8 +48,8 @@
 
     The callables return the current state of the node: its bundle order, the suspects
     to forward, all known suspects, the age of the platform's last answer in
-    milliseconds or -1, the directory revision, the hosts with an open link, and whether
-    a host is reachable.
+    milliseconds or -1, the directory revision, the hosts with an open link that is
+    known to work, and whether a host is reachable.
     """
 
     def __init__(
@@ -119,6 +119,14 @@
         outbox += self._forward(now_ms, sender)
         return outbox
 
+    def neighbours(self) -> tuple[str, ...]:
+        """Return the hosts that get gossip from this node at any time."""
+        return self._peers.neighbours()
+
+    def digest(self) -> Gossip:
+        """Return a message that tells a peer whether the views and revisions differ."""
+        return self._message(())
+
     def announce(self, now_ms: float, records: Iterable[MemberRecord]) -> Outbox:
         """Forward records that this node itself stored in its view."""
         self._rumors.add(records)
@@ -212,7 +220,10 @@
 
     def _is_behind(self, gossip: Gossip) -> bool:
         order = BundleOrder(gossip.bundle_version, gossip.bundle_digest)
-        return order < self._bundle_order()
+        return (
+            order < self._bundle_order()
+            or gossip.directory_revision < self._directory_revision()
+        )
 
     def _message(
         self, records: tuple[MemberRecord, ...], *, wants_full_view: bool = False
--- a/src/jacinthshed/internal/membership/link_health.py
+++ b/src/jacinthshed/internal/membership/link_health.py
@@ -2,8 +2,9 @@
 
 from ..bundle.model import MembershipPolicy
 
-# On an idle link no request can get lost. Its heartbeats only keep the connection state
-# of middleboxes alive, so their interval is this many times longer.
+# On an idle link no request can get lost. Where it carries no gossip either, heartbeats
+# only keep the connection state of middleboxes alive, so their interval is this many
+# times longer.
 IDLE_HEARTBEAT_FACTOR = 60
 
 
@@ -39,7 +40,7 @@
         self._last_frame_ms = now_ms
         self._waiting_since_ms = now_ms if self.outstanding else None
 
-    def is_heartbeat_due(self, now_ms: float) -> bool:
+    def is_heartbeat_due(self, now_ms: float, *, carries_gossip: bool = False) -> bool:
         """Return whether a heartbeat should be sent now.
 
         Any frame from the peer shows that the link works, so a busy link needs no
@@ -47,7 +48,8 @@
         """
         if self._waiting_since_ms is None:
             idle_ms = now_ms - max(self._last_frame_ms, self._last_heartbeat_ms)
-            return idle_ms >= IDLE_HEARTBEAT_FACTOR * self._policy.heartbeat_ms
+            factor = 1 if carries_gossip else IDLE_HEARTBEAT_FACTOR
+            return idle_ms >= factor * self._policy.heartbeat_ms
         waiting_ms = now_ms - max(self._waiting_since_ms, self._last_heartbeat_ms)
         return waiting_ms >= self._policy.heartbeat_ms
 
@@ -57,6 +59,10 @@
             return False
         return now_ms - self._waiting_since_ms >= self._policy.silent_after_ms
 
+    def is_confirmed(self, now_ms: float) -> bool:
+        """Return whether the peer has sent a frame within ``silent_after_ms``."""
+        return self.silent_ms(now_ms) < self._policy.silent_after_ms
+
     def silent_ms(self, now_ms: float) -> float:
         """Return the time since the last frame of the peer."""
         return now_ms - self._last_frame_ms
--- a/src/jacinthshed/internal/membership/peers.py
+++ b/src/jacinthshed/internal/membership/peers.py
@@ -14,8 +14,8 @@
 class PeerSelector:
     """Chooses peers among neighbours, existing links and all members.
 
-    ``linked`` returns the hosts to which a link is open, ``is_reachable`` whether a
-    host is reachable as far as this node knows.
+    ``linked`` returns the hosts to which a link is open that has delivered a frame
+    lately, ``is_reachable`` whether a host is reachable as far as this node knows.
     """
 
     def __init__(
--- a/src/jacinthshed/internal/node/components.py
+++ b/src/jacinthshed/internal/node/components.py
@@ -229,8 +229,13 @@
         return -1 if age_ms is None else int(age_ms)
 
     def linked() -> list[str]:
-        peers = [link.peer for link in links.stream_links()]
-        return [peer.record.host for peer in peers if peer and peer.record.host]
+        now_ms = clock.now_ms()
+        confirmed = (
+            link.peer.record.host
+            for link in links.stream_links()
+            if link.peer is not None and link.health.is_confirmed(now_ms)
+        )
+        return [host for host in confirmed if host]
 
     return Gossiper(
         view=state.view,
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -128,10 +128,11 @@
         self.closed = True
         self._scope.cancel()
 
-    def tick(self, now_ms: float) -> bool:
+    def tick(self, now_ms: float, *, carries_gossip: bool) -> bool:
         """Send a heartbeat if one is due; close the link if the peer is silent.
 
-        Return whether the peer was found to be silent just now.
+        Return whether the peer was found to be silent just now. If the link
+        ``carries_gossip``, its silence is detected while there are no requests, too.
         """
         was_silent = self.silent
         hello_overdue = (
@@ -141,7 +142,7 @@
             self.close()
         elif self.silent or self.health.is_silent(now_ms):
             self._retire()
-        elif self.health.is_heartbeat_due(now_ms):
+        elif self.health.is_heartbeat_due(now_ms, carries_gossip=carries_gossip):
             self._heartbeat_sequence += 1
             self.send(Heartbeat(self._heartbeat_sequence, echo=True))
             self.health.heartbeat_sent(now_ms)
--- a/src/jacinthshed/internal/node/membership_task.py
+++ b/src/jacinthshed/internal/node/membership_task.py
@@ -187,9 +187,7 @@
 
     def _tick(self, now_ms: float) -> None:
         self._detect_pause(now_ms)
-        for link in self._links.stream_links():
-            if link.tick(now_ms):
-                self._log_silent(now_ms, link)
+        self._tick_links(now_ms)
         outranked = self._view.outranked_by
         if outranked is not None and self._view.self_record.state == LIVE:
             self._renew(now_ms, outranked.incarnation)
@@ -200,13 +198,23 @@
         self._send(self._gossiper.tick(now_ms))
         self._publish_changes()
 
-    def _log_silent(self, now_ms: float, link: Link) -> None:
+    def _tick_links(self, now_ms: float) -> None:
+        neighbours = self._gossiper.neighbours()
+        for link in self._links.stream_links():
+            host = link.peer.record.host if link.peer else ""
+            if link.tick(now_ms, carries_gossip=host in neighbours):
+                self._replace_silent(now_ms, host, link)
+
+    def _replace_silent(self, now_ms: float, host: str, link: Link) -> None:
+        """Open another link, and send on it what the silent one may have lost."""
         self._log(
             "link_silent",
-            host=link.peer.record.host if link.peer else "",
+            host=host,
             silent_ms=round(link.health.silent_ms(now_ms)),
             outstanding=link.health.outstanding,
         )
+        if host:
+            self._send([(host, self._gossiper.digest())])
 
     def _renew(self, now_ms: float, known_incarnation: int) -> None:
         """Take a higher incarnation after peers recorded that this one ended.
