Remove no target because of a reading soon after an outage

Cause: a node measured an outage from the end of its own first failed call. A node that began to read late in the outage, or whose call hung through it, took it for a short one, took the expired entries for targets that had left, and told all nodes; these trust removals of peers. A node that started then did the same with a complete list. The class: one node's short view of the source, taken for the fleet's.

The scheduler, which hears of every node's answers by gossip, says from when on a reading proves that a missing target is gone: two seconds after the first answer that any node had after three seconds without one. Until then listed targets are applied, none is removed, and everything is read again at that time instead of applying a reading that is two seconds old. A watch that follows an answered call always counts. A target that only a peer's complete list lacks has to be missing for two seconds.

test_a_restore_does_not_shorten_the_wait_after_an_outage used the deferral that is gone; it now checks the same wait by when readings count.

--- a/src/jacinthshed/internal/bundle/read_scheduler.py
+++ b/src/jacinthshed/internal/bundle/read_scheduler.py
@@ -26,10 +26,17 @@
 # message: otherwise the same answer, reported back and forth, would seem more recent
 # each time, and its age would never reach the threshold.
 HOP_DELAY_MS = 100.0
+# After this time without an answer, entries that have to be renewed may have expired.
+EXPIRY_AFTER_MS = 3_000.0
+# Entries that expired in an outage are listed again within about this time.
+RELIST_MS = 2_000.0
 # Largest deviation from the time between two calls, as a share of it.
 BATCH_JITTER = 0.4
 
 
+_READERS_ARE_QUIET = "readers are quiet"
+
+
 class ReadAction(StrEnum):
     """Action for one key of the platform."""
 
@@ -58,6 +65,10 @@
     node doesn't know its rank, and ``not_before_ms`` the earliest start of a call.
     ``watch_ms`` is the longest wait of the last call, and ``is_in_step`` whether the
     readers' calls end at the same time, as they do when a change ends them.
+
+    ``is_unbroken`` says that the last call was answered, ``is_watch`` and
+    ``is_substitute`` that it was a watch, or a read because the readers were quiet.
+    From ``read_again_ms`` on, a reading is needed to complete the last one.
     """
 
     def __init__(self, not_before_ms: float) -> None:
@@ -65,6 +76,10 @@
         self.called_ms = not_before_ms
         self.watch_ms = 0
         self.is_in_step = True
+        self.is_unbroken = False
+        self.is_watch = False
+        self.is_substitute = False
+        self.read_again_ms = inf
         self.settled_ms = inf
         self.failures = 0
         self.not_before_ms = not_before_ms
@@ -95,6 +110,8 @@
             now_ms=now_ms, node_reads_per_s=policy.node_reads_per_s
         )
         self._last_answer_ms: float | None = None
+        # The first answer known after an outage in which entries may have expired.
+        self._recovered_ms = -inf
         self._started_ms = now_ms
         self._stage_share = random.random()
         self._keys = {
@@ -147,20 +164,28 @@
         if action is not ReadAction.WAIT and wait_ms <= 0.0:
             wait_ms = self._budget.wait_ms(now_ms)
             if self._budget.take(now_ms):
-                state.called_ms = now_ms
-                state.watch_ms = self._watch_ms(action, state)
+                self._start_call(now_ms, state, action, reason)
                 return ReadDecision(action, 0.0, reason, state.watch_ms)
             reason = "budget"
         return ReadDecision(
             ReadAction.WAIT, min(max(wait_ms, 1.0), MAX_WAIT_MS), reason
         )
 
-    def read_finished(self, now_ms: float, key: str, *, answered: bool) -> None:
+    def read_again_at(self, at_ms: float, key: str) -> None:
+        """Read ``key`` again at ``at_ms``, if this node is a reader or acted as one."""
+        self._keys[key].read_again_ms = at_ms
+
+    def read_finished(self, now_ms: float, key: str, *, answered: bool) -> float:
         """Record the end of a read or watch of ``key``.
 
-        ``answered`` is true when the platform answered, even without a change.
+        ``answered`` is true when the platform answered, even without a change. Returns
+        the time from which a reading shows that an entry which it lacks is gone, and
+        did not only expire in an outage. A watch that follows an answered call shows
+        it at any time.
         """
         state = self._keys[key]
+        was_unbroken = state.is_unbroken and state.is_watch
+        state.is_unbroken = answered
         state.is_in_step = now_ms - state.called_ms < state.watch_ms or not answered
         if answered:
             if not state.read_once:
@@ -169,7 +194,7 @@
             state.failures = 0
             state.not_before_ms = state.called_ms + self._batch_ms()
             self._record_answer(now_ms)
-            return
+            return -inf if was_unbroken else self._recovered_ms + RELIST_MS
         backoff_ms = FIRST_BACKOFF_MS * 2.0 ** min(state.failures, 16)
         state.failures += 1
         # Half of the backoff is fixed, so that no read follows at once. The other half
@@ -178,6 +203,17 @@
         state.not_before_ms = now_ms + share * min(
             backoff_ms, self._policy.max_backoff_ms
         )
+        return inf
+
+    def _start_call(
+        self, now_ms: float, state: _KeyState, action: ReadAction, reason: str
+    ) -> None:
+        state.called_ms = now_ms
+        state.watch_ms = self._watch_ms(now_ms, action, state)
+        state.is_watch = action is ReadAction.WATCH
+        state.is_substitute = reason == _READERS_ARE_QUIET
+        if not state.is_watch:
+            state.read_again_ms = inf
 
     def _wanted_action(
         self, now_ms: float, state: _KeyState
@@ -186,7 +222,10 @@
             return ReadAction.READ, "start", 0.0
         if now_ms < state.settled_ms:
             return ReadAction.WAIT, "rank not known yet", state.settled_ms - now_ms
-        if self._rank.rank < self._readers_in_zone():
+        is_reader = self._rank.rank < self._readers_in_zone()
+        if now_ms >= state.read_again_ms and (is_reader or state.is_substitute):
+            return ReadAction.READ, "last reading was incomplete", 0.0
+        if is_reader:
             return ReadAction.WATCH, "rank", 0.0
         last_known_ms = (
             self._started_ms if self._last_answer_ms is None else self._last_answer_ms
@@ -194,7 +233,7 @@
         wait_ms = last_known_ms + self._reads_after_ms() - now_ms
         if wait_ms > 0.0:
             return ReadAction.WAIT, "not a reader", wait_ms
-        return ReadAction.READ, "readers are quiet", 0.0
+        return ReadAction.READ, _READERS_ARE_QUIET, 0.0
 
     def _reads_after_ms(self) -> float:
         """Return the age of the last known answer at which this node reads as well."""
@@ -210,7 +249,7 @@
         share = math.ceil(policy.fleet_readers / self._rank.zones)
         return min(policy.per_zone, share)
 
-    def _watch_ms(self, action: ReadAction, state: _KeyState) -> int:
+    def _watch_ms(self, now_ms: float, action: ReadAction, state: _KeyState) -> int:
         """Return the longest wait of the next call.
 
         A watch on a connection that goes silent is given up when its wait is over. The
@@ -219,11 +258,12 @@
         """
         if action is not ReadAction.WATCH:
             return 0
-        if not state.is_in_step:
-            return self._policy.watch_ms
-        readers = self._readers_in_zone() * self._rank.zones
-        place = min(self._rank.rank_in_fleet + 1, readers)
-        return self._policy.watch_ms * place // readers
+        watch_ms = self._policy.watch_ms
+        if state.is_in_step:
+            readers = self._readers_in_zone() * self._rank.zones
+            place = min(self._rank.rank_in_fleet + 1, readers)
+            watch_ms = watch_ms * place // readers
+        return math.ceil(min(watch_ms, state.read_again_ms - now_ms))
 
     def _batch_ms(self) -> float:
         """Return the time between the starts of two calls for the same key.
@@ -236,7 +276,10 @@
         return share * self._policy.batch_ms
 
     def _record_answer(self, at_ms: float) -> None:
-        if self._last_answer_ms is None or at_ms > self._last_answer_ms:
+        last_ms = -inf if self._last_answer_ms is None else self._last_answer_ms
+        if at_ms - last_ms >= EXPIRY_AFTER_MS:
+            self._recovered_ms = at_ms
+        if at_ms > last_ms:
             self._last_answer_ms = at_ms
             self._stage_share = self._random.random()
 
--- a/src/jacinthshed/internal/discovery/directory.py
+++ b/src/jacinthshed/internal/discovery/directory.py
@@ -1,6 +1,6 @@
 """A node's copy of the directory of targets."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from .source_revision import from_ordinal
 from .target_entry import EntryChange, TargetEntry
@@ -55,10 +55,24 @@
         listed = {change.key: change for change in entries}
         missing = [
             EntryChange(key, revision, None)
+            for key in self.missing_from(revision, listed)
+        ]
+        return self.apply(revision, [*listed.values(), *missing])
+
+    def missing_from(self, revision: int, listed: Container[str]) -> list[str]:
+        """Return the keys of targets that a full reading at ``revision`` lacks."""
+        return [
+            key
             for key, known in self._changes.items()
             if key not in listed and known.revision <= revision and known.entry
         ]
-        return self.apply(revision, [*listed.values(), *missing])
+
+    def merge(self, changes: Iterable[EntryChange]) -> list[str]:
+        """Apply changes that are not complete; return the services that changed.
+
+        The revision stays, so that peers still send what is lacking.
+        """
+        return self.apply(self.revision, changes)
 
     def apply(self, revision: int, changes: Iterable[EntryChange]) -> list[str]:
         """Apply ``changes``, complete up to ``revision``; return changed services."""
--- a/src/jacinthshed/internal/node/feed_setup.py
+++ b/src/jacinthshed/internal/node/feed_setup.py
@@ -31,7 +31,8 @@
     env: Environment,
     reader: ReadScheduler,
     sinks: Sinks,
-    on_recovered: Callable[[float], None],
+    on_answer: Callable[[float], None],
+    take_read_again_ms: Callable[[], float | None],
 ) -> list[FeedTask]:
     """Return one task for each feed of the publication."""
     feeds = env.publication.feeds(env.network.connect, sinks, env.log)
@@ -40,7 +41,8 @@
             feed=feed,
             reader=reader,
             clock=env.clock,
-            on_recovered=on_recovered,
+            on_answer=on_answer,
+            take_read_again_ms=take_read_again_ms,
             log=env.log,
         )
         for feed in feeds
--- a/src/jacinthshed/internal/node/feed_task.py
+++ b/src/jacinthshed/internal/node/feed_task.py
@@ -17,8 +17,9 @@
     """Reads one feed as often as this node's rank permits.
 
     ``attempted`` is set after the first call, ``has_answered`` after the first
-    successful one. After an outage, ``on_recovered`` is called with its length in
-    milliseconds before the first new reading is applied.
+    successful one. Before a reading is applied, ``on_answer`` is called with the time
+    from which a reading shows that entries which it lacks are gone. After that,
+    ``take_read_again_ms`` returns when to read again, or ``None``.
     """
 
     def __init__(
@@ -27,14 +28,16 @@
         feed: Feed,
         reader: ReadScheduler,
         clock: Clock,
-        on_recovered: Callable[[float], None],
+        on_answer: Callable[[float], None],
+        take_read_again_ms: Callable[[], float | None],
         log: LogDecision,
     ) -> None:
         self._feed = feed
         self._reader = reader
         self._clock = clock
         self._log = log
-        self._on_recovered = on_recovered
+        self._on_answer = on_answer
+        self._take_read_again_ms = take_read_again_ms
         self._failing_since_ms: float | None = None
         self.attempted = trio.Event()
         self.has_answered = False
@@ -53,7 +56,8 @@
                 # What was read must not end the process; the node keeps what it knows.
                 log.exception("reading failed", key=key)
                 answered = False
-            self._reader.read_finished(self._clock.now_ms(), key, answered=answered)
+            if not answered:
+                self._reader.read_finished(self._clock.now_ms(), key, answered=False)
             self.attempted.set()
 
     async def _take_turn(self, turn: ReadDecision) -> bool:
@@ -76,14 +80,19 @@
             )
             return False
         self.has_answered = True
-        self._recovered()
+        self._log_recovery()
+        key = self._feed.key
+        now_ms = self._clock.now_ms()
+        self._on_answer(self._reader.read_finished(now_ms, key, answered=True))
         result.unwrap()()
+        read_again_ms = self._take_read_again_ms()
+        if read_again_ms is not None:
+            self._reader.read_again_at(read_again_ms, key)
         return True
 
-    def _recovered(self) -> None:
+    def _log_recovery(self) -> None:
         if self._failing_since_ms is None:
             return
         outage_ms = self._clock.now_ms() - self._failing_since_ms
         self._failing_since_ms = None
         self._log("platform_regained", key=self._feed.key, outage_ms=round(outage_ms))
-        self._on_recovered(outage_ms)
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -174,11 +174,11 @@
 
     def _on_targets_data(self, channel: Channel, data: TargetsData) -> None:
         self._targets_requested_ms = float("-inf")
-        self._updates.change(data.revision, data.changes)
+        self._updates.change_by_peer(data.revision, data.changes)
 
     def _on_targets_list(self, channel: Channel, found: TargetsList) -> None:
         self._targets_requested_ms = float("-inf")
-        self._updates.replace(found.revision, found.entries)
+        self._updates.replace_by_peer(found.revision, found.entries)
 
     def _request_newer_bundle(self, channel: Channel, order: BundleOrder) -> None:
         """Request the sender's bundle if it is above the one in force."""
--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -197,7 +197,8 @@
             env=self._env,
             reader=self._reader,
             sinks=make_sinks(components.holder, components.updates, self._take_hosts),
-            on_recovered=components.updates.source_recovered,
+            on_answer=components.updates.source_answered,
+            take_read_again_ms=components.updates.take_read_again_ms,
         )
         for task in tasks:
             nursery.start_soon(task.run)
--- a/src/jacinthshed/internal/node/target_updates.py
+++ b/src/jacinthshed/internal/node/target_updates.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from ..bundle.read_scheduler import RELIST_MS
 from ..discovery.directory import Directory
 from ..discovery.publication import Sinks
 from ..discovery.source_revision import from_ordinal
@@ -15,11 +16,6 @@
 from .clock import MS_PER_S, Clock
 from .policy_holder import PolicyHolder
 
-# In an outage no target can renew its entry, and entries expire after three heartbeat
-# intervals of at least a second each.
-EXPIRY_AFTER_MS = 3_000.0
-# Targets whose entries expired in an outage are listed again within about this time.
-RELIST_MS = 2_000.0
 # A target that doesn't run, but is listed by a source restored from a copy, has expired
 # there after this time, which exceeds three heartbeat intervals.
 RELISTED_EXPIRY_MS = 15_000.0
@@ -29,11 +25,12 @@
     """Applies changes to the directory and notifies its subscribers.
 
     ``on_hosts`` is called with the hosts of all targets, ``on_services`` with the
-    services whose targets changed. After a long outage of the source, updates are
-    deferred until live targets have had time to list themselves again; otherwise they
-    would appear to have left. So are complete lists, and what follows them, after the
-    source was restored from a copy. Changes that a peer has applied are applied at
-    once; they contain no removals that the peer would have deferred.
+    services whose targets changed.
+
+    A reading soon after an outage of the source, or after the source was restored from
+    a copy, lacks live targets which have yet to list themselves again. No target is
+    removed because of it, and everything is read again later. A complete list from a
+    peer may be such a reading, too: a target has to be missing for some time.
     """
 
     def __init__(
@@ -52,29 +49,71 @@
         self._log = log
         self._generation = 0
         self._relisted_at_ms = -inf
-        self._apply_at_ms = inf
-        self._deferred: list[Callable[[], list[str]]] = []
+        self._complete_from_ms = -inf
+        self._is_incomplete = False
+        self._read_again_ms: float | None = None
+        self._missing_since_ms: dict[str, float] = {}
         self._release_at_ms = inf
         self._release_generation = 0
         self._wake = trio.Event()
 
+    def source_answered(self, complete_from_ms: float) -> None:
+        """Record when a reading like the next one shows which targets are gone."""
+        self._complete_from_ms = complete_from_ms
+
+    def take_read_again_ms(self) -> float | None:
+        """Return when all has to be read again, if the last reading was incomplete."""
+        read_again_ms, self._read_again_ms = self._read_again_ms, None
+        return read_again_ms
+
     def replace(self, revision: int, changes: Sequence[EntryChange]) -> None:
         """Apply a complete list of targets as of ``revision``."""
         self._note_generation(revision)
-        if self._clock.now_ms() < self._relisted_at_ms:
-            self._defer_until(self._relisted_at_ms, outage_ms=0.0)
-        self._apply_or_defer(lambda: self._directory.replace(revision, changes))
+        complete_from_ms = max(self._complete_from_ms, self._relisted_at_ms)
+        if self._directory.revision and self._clock.now_ms() < complete_from_ms:
+            self._merge(changes, complete_from_ms)
+            return
+        self._is_incomplete = False
+        self._notify(self._directory.replace(revision, changes))
 
     def change(self, revision: int, changes: Sequence[EntryChange]) -> None:
         """Apply changes, complete up to ``revision``."""
         self._note_generation(revision)
-        self._apply_or_defer(lambda: self._directory.apply(revision, changes))
+        if self._is_incomplete:
+            self._notify(self._directory.merge(_listed(changes)))
+        elif self._directory.revision and self._clock.now_ms() < self._complete_from_ms:
+            self._merge(changes, self._complete_from_ms)
+        else:
+            self._notify(self._directory.apply(revision, changes))
 
-    def source_recovered(self, outage_ms: float) -> None:
-        """Defer updates for a while if the source's outage was long."""
-        if outage_ms >= EXPIRY_AFTER_MS and self._directory.revision:
-            relisted_at_ms = self._clock.now_ms() + RELIST_MS
-            self._defer_until(relisted_at_ms, outage_ms=outage_ms)
+    def change_by_peer(self, revision: int, changes: Sequence[EntryChange]) -> None:
+        """Apply changes up to ``revision`` that a peer has applied."""
+        self._note_generation(revision)
+        self._notify(self._directory.apply(revision, changes))
+
+    def replace_by_peer(self, revision: int, changes: Sequence[EntryChange]) -> None:
+        """Apply a peer's complete list of targets as of ``revision``."""
+        self._note_generation(revision)
+        now_ms = self._clock.now_ms()
+        listed = {change.key for change in changes}
+        missing = self._directory.missing_from(revision, listed)
+        self._missing_since_ms = {
+            key: self._missing_since_ms.get(key, now_ms) for key in missing
+        }
+        if all(
+            now_ms - at_ms >= RELIST_MS for at_ms in self._missing_since_ms.values()
+        ):
+            self._missing_since_ms = {}
+            self._notify(self._directory.replace(revision, changes))
+        else:
+            self._notify(self._directory.merge(changes))
+
+    def _merge(self, changes: Sequence[EntryChange], complete_from_ms: float) -> None:
+        self._is_incomplete = True
+        self._read_again_ms = complete_from_ms
+        for_ms = round(complete_from_ms - self._clock.now_ms())
+        self._log("targets_held", for_ms=for_ms)
+        self._notify(self._directory.merge(_listed(changes)))
 
     def _note_generation(self, revision: int) -> None:
         """Record when a restore of the source became known, from it or from a peer."""
@@ -85,42 +124,17 @@
         if self._directory.revision:
             self._relisted_at_ms = self._clock.now_ms() + RELIST_MS
 
-    def _defer_until(self, apply_at_ms: float, *, outage_ms: float) -> None:
-        if self._apply_at_ms < inf:
-            apply_at_ms = max(apply_at_ms, self._apply_at_ms)
-        self._apply_at_ms = apply_at_ms
-        for_ms = round(apply_at_ms - self._clock.now_ms())
-        self._log("targets_held", outage_ms=round(outage_ms), for_ms=for_ms)
-        self._wake.set()
-
     async def run(self) -> None:
-        """Apply deferred updates, and release targets, when due; until cancelled."""
+        """Release targets when due, until cancelled."""
         while True:
-            wait_ms = min(self._apply_at_ms, self._release_at_ms) - self._clock.now_ms()
+            wait_ms = self._release_at_ms - self._clock.now_ms()
             with trio.move_on_after(max(0.0, wait_ms) / MS_PER_S):
                 await self._wake.wait()
             self._wake = trio.Event()
-            now_ms = self._clock.now_ms()
-            if now_ms >= self._apply_at_ms:
-                self._apply_deferred()
-            if now_ms >= self._release_at_ms:
+            if self._clock.now_ms() >= self._release_at_ms:
                 self._release_at_ms = inf
                 self._notify(self._directory.release_relisted())
 
-    def _apply_deferred(self) -> None:
-        self._apply_at_ms = inf
-        services: dict[str, None] = {}
-        for apply in self._deferred:
-            services.update(dict.fromkeys(apply()))
-        self._deferred.clear()
-        self._notify(list(services))
-
-    def _apply_or_defer(self, apply: Callable[[], list[str]]) -> None:
-        if self._apply_at_ms < inf:
-            self._deferred.append(apply)
-        else:
-            self._notify(apply())
-
     def _notify(self, services: list[str]) -> None:
         generation, revision = from_ordinal(self._directory.revision)
         # After another restore, entries take as long to expire again.
@@ -141,6 +155,10 @@
         self._on_services(services)
 
 
+def _listed(changes: Sequence[EntryChange]) -> list[EntryChange]:
+    return [change for change in changes if change.entry is not None]
+
+
 def make_sinks(
     holder: PolicyHolder,
     updates: TargetUpdates,
--- a/tests/common/silent_connections.py
+++ b/tests/common/silent_connections.py
@@ -7,7 +7,7 @@
 
 from jacinthshed.internal.http.network import Network
 from jacinthshed.internal.standin.store_state import StoreFaultMode
-from tests.common.machines import STORE, Machines, desired_state
+from tests.common.machines import STORE, Machines, desired_state, entry_of
 from tests.common.streams import SilenceableStream
 
 SERVICES = "abcd"
@@ -42,13 +42,44 @@
             if store if stream.ends == STORE else peers:
                 stream.silent = True
 
-    async def silence_store(self, *, for_s):
-        """Let the store neither answer on open connections nor on new ones."""
+    async def silence_store(self, *, for_s, expire_entries=False):
+        """Let the store neither answer on open connections nor on new ones.
+
+        With ``expire_entries``, no target can renew its entry meanwhile.
+        """
         self.go_silent(peers=False)
         self.store.faults.extend([StoreFaultMode.SILENT] * 10_000)
         await trio.sleep(for_s)
+        if expire_entries:
+            self.expire_entries()
         self.store.faults.clear()
 
+    def expire_entries(self):
+        """Remove the entries of all targets."""
+        for ip in self.ips:
+            self.store.delete(f"servers/i-{ip}")
+
+    async def list_again(self, *, within_s):
+        """Let each target write its entry again, at a random time."""
+        moments = random.Random(self.seed)
+        for ip in self.ips:
+            self.nursery.start_soon(self._list_one, ip, within_s * moments.random())
+
+    async def _list_one(self, ip, after_s):
+        await trio.sleep(after_s)
+        service = SERVICES[self.ips.index(ip) % 4]
+        entry = entry_of(f"i-{ip}", ip, service, zone=self.zone_of(ip))
+        self.store.put(f"servers/i-{ip}", entry)
+
+    def nodes_without_targets(self):
+        """Return the machines on which a service has no target that takes work."""
+        return {
+            ip
+            for ip, node in self.nodes.items()
+            for service in SERVICES
+            if not node._components.state.directory.targets(service)
+        }
+
     def outdated(self, version):
         """Return the machines on which ``version`` is not in force."""
         return [
--- a/tests/cover/test_platform_generations.py
+++ b/tests/cover/test_platform_generations.py
@@ -2,11 +2,12 @@
 
 import trio
 
+from jacinthshed.internal.bundle.read_scheduler import RELIST_MS
 from jacinthshed.internal.discovery import directory as directory_module
 from jacinthshed.internal.discovery.directory import Directory
 from jacinthshed.internal.discovery.source_revision import SourceRevision, to_ordinal
 from jacinthshed.internal.discovery.target_entry import EntryChange
-from jacinthshed.internal.node.target_updates import RELIST_MS
+from jacinthshed.internal.node.clock import trio_now_ms
 from jacinthshed.internal.platform.store import StoreErrorKind
 from jacinthshed.internal.standin.store_state import StoredItem, StoreFaultMode
 from tests.common.fleet import run_virtual
@@ -110,17 +111,20 @@
         directory = Directory()
         updates = target_updates(directory)
         updates.change(5, [listed("p", 0, 5)])
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(updates.run)
-            updates.change(to_ordinal(SourceRevision(1, 4)), [])
-            await trio.sleep(1.5)
-            updates.source_recovered(5_000.0)
-            updates.replace(to_ordinal(SourceRevision(1, 5)), [])
-            await trio.sleep(RELIST_MS / 1_000 - 0.1)
-            assert len(directory.targets("b")) == 1
-            await trio.sleep(0.2)
-            assert not directory.targets("b")
-            nursery.cancel_scope.cancel()
+        updates.change(to_ordinal(SourceRevision(1, 4)), [])
+        await trio.sleep(1.5)
+        complete_from_ms = trio_now_ms() + RELIST_MS
+        updates.source_answered(complete_from_ms)
+        updates.replace(to_ordinal(SourceRevision(1, 5)), [])
+        assert updates.take_read_again_ms() == complete_from_ms
+        await trio.sleep(RELIST_MS / 1_000 - 0.1)
+        updates.replace(to_ordinal(SourceRevision(1, 6)), [])
+        assert updates.take_read_again_ms() == complete_from_ms
+        assert len(directory.targets("b")) == 1
+        await trio.sleep(0.2)
+        updates.replace(to_ordinal(SourceRevision(1, 7)), [])
+        assert not directory.targets("b")
+        assert updates.take_read_again_ms() is None
 
     run_virtual(main)
 
