Keep the limit that a target names in its answers

Cause (hypothesis 1): the field Server-Limit was not known. It was passed on like any other, and admission bounds only how many requests run at once. The class: a signal of the other side that is forwarded, but not obeyed.

The node beside a target is its only caller, so it alone can keep the limit: a token bucket with the announced rate, at most half a second of burst and no credit from before, holds back the start of requests in the admission queue, so that the more important start first. What would wait longer than 0.4 s is refused as not run, with a Retry-After of the time until its turn, and the load in replies rises with the used part of the rate, so that other nodes send their requests to other targets. A limit ends with an answer without it, a second after the last that had one; a limit of 0 lets one request in two seconds through, as only an answer can end it. A value that is not a decimal number is no limit.

--- a/src/jacinthshed/internal/adapters/http_adapter.py
+++ b/src/jacinthshed/internal/adapters/http_adapter.py
@@ -5,6 +5,7 @@
 
 from returns.result import Result
 
+from ..flow.announcements import ReadAnnouncement
 from ..flow.backend_outcome import AnswerCheck
 from ..flow.call_reader import Arrival, ParsedCall
 from ..flow.policy import Policy
@@ -31,6 +32,7 @@
     - ``matcher`` returns what identifies the response to the request of this frame.
     - ``check_answer`` returns the refusal that an answer amounts to, or ``None`` to
       forward it.
+    - ``read_announcement`` returns what the backend server announces in an answer.
     - ``is_failed`` returns whether another target may give a better answer.
     """
 
@@ -43,4 +45,5 @@
     backend_request: Callable[[Submit, float], Request]
     matcher: Callable[[Submit], ResponseMatcher]
     check_answer: AnswerCheck
+    read_announcement: ReadAnnouncement
     is_failed: Callable[[Reply], bool]
--- a/src/jacinthshed/internal/adapters/native.py
+++ b/src/jacinthshed/internal/adapters/native.py
@@ -1,5 +1,6 @@
 """The HTTP adapter for the product's own headers, ``Jacinthshed-*``."""
 
+from ..flow.announcements import Announcement
 from ..flow.backend_outcome import refusal_from_answer
 from ..flow.call_reader import (
     CONTEXT_HEADER,
@@ -30,6 +31,7 @@
         backend_request=_backend_request,
         matcher=_matcher,
         check_answer=refusal_from_answer,
+        read_announcement=lambda answer: Announcement(),
         is_failed=lambda reply: False,
     )
 
--- a/src/jacinthshed/internal/admission/admission.py
+++ b/src/jacinthshed/internal/admission/admission.py
@@ -4,6 +4,7 @@
 
 from ..bundle.model import AdmissionPolicy
 from ..verdict import Reason
+from .announced_rate import AnnouncedRate
 from .decision import Decision, Refuse, Start
 from .limit import AdaptiveLimit
 from .outcome import Outcome
@@ -38,13 +39,14 @@
 
     ``slots`` is the upper bound of the concurrency limit. ``queue`` is the capacity of
     the queue; 0 means as many entries as there are slots. All times are monotonic
-    milliseconds of this host.
+    milliseconds of this host. ``rate`` limits how many requests start per second.
     """
 
     def __init__(self, *, slots: int, queue: int, policy: AdmissionPolicy) -> None:
         self._limit = AdaptiveLimit(slots=slots, policy=policy)
         self._queue = WaitingQueue(capacity=queue or slots)
         self._controller = ShedLevelController()
+        self.rate = AnnouncedRate()
         self._running: dict[int, Running] = {}
         self._waiting_routes: dict[int, str] = {}
         self._leaving = False
@@ -66,10 +68,11 @@
         """The number of attempts that wait for a slot."""
         return len(self._queue)
 
-    @property
-    def load(self) -> float:
-        """Running and waiting attempts as a ratio of the limit; may exceed 1."""
-        return (len(self._running) + len(self._queue)) / self._limit.value
+    def load(self, now_ms: float) -> float:
+        """Return the used part of the limit or the rate; with a queue it exceeds 1."""
+        waiting = len(self._queue)
+        of_limit = (len(self._running) + waiting) / self._limit.value
+        return max(of_limit, self.rate.load(now_ms, waiting))
 
     def offer(self, now_ms: float, work: Work, route: str = "") -> list[Decision]:
         """Start, queue or refuse ``work``; may shed a less important entry for it."""
@@ -81,7 +84,7 @@
             return [*decisions, Refuse(work.ticket, Reason.DEADLINE, 0)]
         if now_ms == self._last_shed_ms and work.rank > self._last_shed_rank:
             return [*decisions, self._shed(now_ms, work)]
-        if len(self._running) < self._limit.value:
+        if self._may_start(now_ms):
             return [*decisions, self._start(now_ms, work.ticket, route)]
         return [*decisions, *self._enqueue(now_ms, work, route)]
 
@@ -114,9 +117,16 @@
             del self._waiting_routes[work.ticket]
         return [Refuse(work.ticket, Reason.DEADLINE, 0) for work in expired]
 
-    def next_expiry_ms(self) -> float | None:
-        """Return when ``expire`` has to be called next, or None when nothing waits."""
-        return self._queue.next_expiry_ms()
+    def advance(self, now_ms: float) -> list[Decision]:
+        """Refuse expired work and start the work whose turn has come."""
+        return self._fill_slots(now_ms)
+
+    def next_advance_ms(self) -> float | None:
+        """Return when ``advance`` has to be called next, or None when nothing waits."""
+        expiry_ms = self._queue.next_expiry_ms()
+        if expiry_ms is None or len(self._running) >= self._limit.value:
+            return expiry_ms
+        return min(expiry_ms, self.rate.next_start_ms())
 
     def withdraw(self, now_ms: float, ticket: int) -> bool:
         """Remove waiting work; return False if ``ticket`` is not in the queue."""
@@ -174,7 +184,7 @@
         self._limit.record_saturation()
         decisions: list[Decision] = []
         if len(self._queue) >= self._usable_capacity():
-            if sort_key(work) > sort_key(self._queue.lowest()):
+            if not len(self._queue) or sort_key(work) > sort_key(self._queue.lowest()):
                 return [self._shed(now_ms, work)]
             decisions.append(self._shed_lowest(now_ms))
         self._waiting_routes[work.ticket] = route
@@ -189,11 +199,15 @@
         is slow, entries at the end of a full queue would occupy the slots of the
         services above for longer than the work itself takes.
         """
+        capacity = self._queue.capacity
+        if self.rate.is_limited:
+            by_rate = int(self.rate.rate_per_s * MAX_QUEUE_WAIT_MS / 1_000)
+            capacity = min(capacity, by_rate)
         hold_ms = self._limit.mean_hold_ms
         if hold_ms <= 0.0:
-            return self._queue.capacity
+            return capacity
         servable = int(self._limit.value * MAX_QUEUE_WAIT_MS / hold_ms)
-        return min(self._queue.capacity, max(MIN_USABLE_CAPACITY, servable))
+        return min(capacity, max(MIN_USABLE_CAPACITY, servable))
 
     def _shed_lowest(self, now_ms: float) -> Refuse:
         lowest = self._queue.pop_lowest()
@@ -220,6 +234,7 @@
         """
         hold_ms = self._limit.mean_hold_ms
         drain_ms = hold_ms * (1 + len(self._queue) / self._limit.value)
+        drain_ms = max(drain_ms, (1 + len(self._queue)) / self.rate.rate_per_s * 1_000)
         base_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, drain_ms))
         spread = (work.root_hash % RETRY_SPREAD_STEPS) / RETRY_SPREAD_STEPS
         return int(base_ms * (1 + spread))
@@ -227,7 +242,7 @@
     def _fill_slots(self, now_ms: float) -> list[Decision]:
         """Refuse expired work and start waiting work while there are free slots."""
         decisions = self.expire(now_ms)
-        while len(self._queue) and len(self._running) < self._limit.value:
+        while len(self._queue) and self._may_start(now_ms):
             ticket = self._queue.pop_first().ticket
             decisions.append(
                 self._start(now_ms, ticket, self._waiting_routes.pop(ticket))
@@ -235,15 +250,20 @@
         self._update_level(now_ms)
         return decisions
 
+    def _may_start(self, now_ms: float) -> bool:
+        is_slot_free = len(self._running) < self._limit.value
+        return is_slot_free and self.rate.may_start(now_ms)
+
     def _start(self, now_ms: float, ticket: int, route: str) -> Start:
+        self.rate.take(now_ms)
         self._running[ticket] = Running(route, now_ms)
         return Start(ticket)
 
     def _update_level(self, now_ms: float) -> None:
         if self._controller.is_due(now_ms):
-            self._controller.update(now_ms, self._queue_state())
+            self._controller.update(now_ms, self._queue_state(now_ms))
 
-    def _queue_state(self) -> QueueState:
+    def _queue_state(self, now_ms: float) -> QueueState:
         capacity = self._usable_capacity()
         # A short queue keeps the slots busy. It also limits how long work near the
         # shed level waits here while it occupies slots of the services above.
@@ -251,6 +271,8 @@
             MIN_USABLE_CAPACITY // 2, capacity * DESIRED_WAIT_MS // MAX_QUEUE_WAIT_MS
         )
         free = self._limit.value + desired - len(self._running) - len(self._queue)
+        if not self.rate.may_start(now_ms):
+            free = min(free, desired - len(self._queue))
         return QueueState(
             free=free,
             middle=self._queue.sort_key_at(capacity // 2),
--- /dev/null
+++ b/src/jacinthshed/internal/flow/announcements.py
@@ -0,0 +1,42 @@
+"""What a backend server announces about itself in its answers."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..admission.announced_rate import AnnouncedRate
+from ..fence.instant import Instant
+from ..telemetry.log import LogDecision
+from ..wire.frames import Submit
+from .backend_outcome import BackendAnswer, BackendResult
+
+
+class Announcement(NamedTuple):
+    """The requests per second that a backend server takes; ``None`` if not named."""
+
+    rate_per_s: float | None = None
+
+
+ReadAnnouncement = Callable[[BackendAnswer], Announcement]
+"""Returns what an answer announces."""
+
+RecordAnnouncement = Callable[[Instant, Submit, BackendResult], None]
+"""Records what the answer to a request announces."""
+
+
+def announcement_recorder(
+    *,
+    read: ReadAnnouncement,
+    rate: AnnouncedRate,
+    log: LogDecision,
+) -> RecordAnnouncement:
+    """Return the function that records the announcements of one backend server."""
+
+    def record(at: Instant, submit: Submit, result: BackendResult) -> None:
+        if not isinstance(result, BackendAnswer):
+            return
+        announced = read(result)
+        if rate.announce(at.now_ms, announced.rate_per_s):
+            rate_per_s = rate.rate_per_s if rate.is_limited else None
+            log("rate_announced", target_id=submit.target_id, rate_per_s=rate_per_s)
+
+    return record
--- a/src/jacinthshed/internal/flow/target.py
+++ b/src/jacinthshed/internal/flow/target.py
@@ -143,8 +143,8 @@
         return actions
 
     def expire(self, at: Instant) -> list[TargetAction]:
-        """Refuse queued requests whose deadline has passed."""
-        return self._apply(at, self._admission.expire(at.now_ms))
+        """Refuse queued requests at their deadline, and start those that are due."""
+        return self._apply(at, self._admission.advance(at.now_ms))
 
     def apply_decisions(
         self, at: Instant, decisions: list[Decision]
@@ -154,7 +154,7 @@
 
     def next_expiry_ms(self) -> float | None:
         """Return the monotonic time at which ``expire`` is due next, or ``None``."""
-        return self._admission.next_expiry_ms()
+        return self._admission.next_advance_ms()
 
     def _admit(
         self, at: Instant, link: int, submit: Submit, crash_fingerprint: int
@@ -238,7 +238,7 @@
         level = self._fold_level(at, submit.route, own_level)
         reply = reply._replace(
             calls_done=calls_done,
-            load=self._admission.load,
+            load=self._admission.load(at.now_ms),
             shed_rank=level.rank,
             shed_hash=level.root_hash,
         )
--- a/src/jacinthshed/internal/node/components.py
+++ b/src/jacinthshed/internal/node/components.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..bundle.read_scheduler import ReadScheduler
+from ..flow.announcements import announcement_recorder
 from ..http.client import BackendPool
 from ..membership.gossip import Gossiper
 from ..wire.codec import PROTOCOL_VERSION
@@ -75,6 +76,11 @@
         adapter=env.adapter,
         sizes=lambda: size_limits(holder),
         fence_left_ms=lambda token: fence_left_ms(env.clock, token),
+        record_announcement=announcement_recorder(
+            read=env.adapter.read_announcement,
+            rate=state.admission.rate,
+            log=env.log,
+        ),
         is_backend_up=env.is_backend_up,
     )
     applier = PolicyApplier(
--- a/src/jacinthshed/internal/node/dispatcher.py
+++ b/src/jacinthshed/internal/node/dispatcher.py
@@ -9,6 +9,7 @@
 from ..bundle.model import SizeLimits
 from ..fence.instant import Instant
 from ..flow.actions import Abort, Dispatch, Send, TargetAction
+from ..flow.announcements import RecordAnnouncement
 from ..flow.backend_outcome import (
     BackendAnswer,
     BackendFailure,
@@ -30,7 +31,8 @@
 
     ``fence_left_ms`` returns the time until a fence expires. An exchange under a fence
     continues for that long even past its caller's deadline, because only its outcome
-    can answer a later copy of the request.
+    can answer a later copy of the request. ``record_announcement`` is called with each
+    result before the target gets it.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         adapter: HttpAdapter,
         sizes: Callable[[], SizeLimits],
         fence_left_ms: Callable[[str], float],
+        record_announcement: RecordAnnouncement,
         is_backend_up: Callable[[], Awaitable[bool]],
     ) -> None:
         self._target = target
@@ -52,6 +55,7 @@
         self._adapter = adapter
         self._sizes = sizes
         self._fence_left_ms = fence_left_ms
+        self._record_announcement = record_announcement
         self._is_backend_up = is_backend_up
         self._scopes: dict[int, trio.CancelScope] = {}
         self._aborted: set[int] = set()
@@ -120,7 +124,7 @@
                 result = BackendFailure(True, FailureCause.ABORTED, "")
         if _is_broken(result):
             result = await self._detect_crash(result)
-        self._report(dispatch.ticket, result)
+        self._report(dispatch, result)
 
     async def _exchange(self, dispatch: Dispatch, scope: trio.CancelScope) -> Outcome:
         timeout_ms = dispatch.timeout_ms
@@ -134,8 +138,10 @@
             scope=scope,
         )
 
-    def _report(self, ticket: int, result: BackendResult) -> None:
-        self.perform(self._target.backend_done(self._now(), ticket, result))
+    def _report(self, dispatch: Dispatch, result: BackendResult) -> None:
+        at = self._now()
+        self._record_announcement(at, dispatch.submit, result)
+        self.perform(self._target.backend_done(at, dispatch.ticket, result))
 
     def _now(self) -> Instant:
         return Instant(self._clock.now_ms(), self._clock.wall_ms())
--- a/src/jacinthshed/internal/platform/headers.py
+++ b/src/jacinthshed/internal/platform/headers.py
@@ -16,3 +16,5 @@
 # Service of the backend server beside the node where the request entered.
 CALLER_SERVICE = b"caller-service"
 CONTENT_ENCODING = b"content-encoding"
+# Requests per second that a target takes from all machines together, while it says so.
+SERVER_LIMIT = b"server-limit"
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -1,5 +1,6 @@
 """Conversion of requests and answers to and from the platform's headers."""
 
+import re
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
@@ -8,6 +9,7 @@
 from ..admission.work import hash_of_root
 from ..bundle.route_match import RouteMatch
 from ..fence.strategy import Unfenced
+from ..flow.announcements import Announcement
 from ..flow.backend_outcome import BackendAnswer
 from ..flow.call import Call
 from ..flow.call_reader import HOST_HEADER, Arrival, ParsedCall
@@ -27,6 +29,7 @@
     PIN_INSTANCE,
     RESPONSE_SEAL,
     RETRY_AFTER,
+    SERVER_LIMIT,
 )
 
 MAX_ID_BYTES = 128
@@ -39,6 +42,8 @@
 # A caller takes these statuses as a guarantee that its request has not run and never
 # will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# A decimal number; its digits are bounded so that it is finite.
+_RATE = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 # A node sets these headers on the request to a target; the caller's are not forwarded.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, PIN_INSTANCE, CALLER_SERVICE})
 _REFUSED_STATUS = {
@@ -64,6 +69,7 @@
         backend_request=_backend_request,
         matcher=_matcher,
         check_answer=_check_answer,
+        read_announcement=_read_announcement,
         is_failed=lambda reply: reply.status >= _FAILURE_STATUS,
     )
 
@@ -225,6 +231,17 @@
     return None
 
 
+def _read_announcement(answer: BackendAnswer) -> Announcement:
+    return Announcement(_read_rate(header(answer.headers, SERVER_LIMIT)))
+
+
+def _read_rate(value: bytes | None) -> float | None:
+    """Return the rate in a header field; one that can't be read announces nothing."""
+    if value is None or not _RATE.fullmatch(value):
+        return None
+    return float(value)
+
+
 def _backend_failed(detail: str) -> Refusal:
     return Refusal(Verdict.MAY_HAVE_RUN, Reason.BACKEND_FAILED, 0, detail)
 
--- a/src/jacinthshed/internal/standin/pinned_target.py
+++ b/src/jacinthshed/internal/standin/pinned_target.py
@@ -18,8 +18,9 @@
     ``work_ms`` is the duration of a request. ``status`` is the status of its response,
     and ``sealed`` whether the response has the field ``response-seal``.
     ``before_answer`` is called after the work, for instance to send nested calls, and
-    returns the status to respond with. ``runs`` counts the runs of each attempt id,
-    ``requests`` are the requests that ran, and ``ended`` counts those that finished.
+    returns the status to respond with. ``announced`` is added to the fields of each
+    response. ``runs`` counts the runs of each attempt id, ``requests`` are the requests
+    that ran, ``started_s`` when they started, and ``ended`` counts those that finished.
     """
 
     def __init__(self, *, target_id: str, work_ms: float = 10.0) -> None:
@@ -30,7 +31,9 @@
         self.is_full = False
         self.before_answer: Callable[[Request], Awaitable[int]] | None = None
         self.runs: Counter[str] = Counter()
+        self.announced: Headers = ()
         self.requests: list[Request] = []
+        self.started_s: list[float] = []
         self.ended = 0
 
     async def serve(
@@ -60,11 +63,12 @@
         own_id = self.target_id.encode()
         if pinned not in (None, own_id):
             headers = ((b"instance-id", own_id), (b"not-executed", b"1"))
-            return Response(421, headers)
+            return Response(421, (*headers, *self.announced))
         if self.is_full:
-            return Response(503, ((b"not-executed", b"1"),))
+            return Response(503, ((b"not-executed", b"1"), *self.announced))
         self.runs[attempt.decode()] += 1
         self.requests.append(request)
+        self.started_s.append(trio.current_time())
         await trio.sleep(self.work_ms / 1_000)
         status = self.status
         if self.before_answer is not None:
@@ -73,4 +77,5 @@
         headers_sent: Headers = ((b"attempt-id", attempt),)
         if self.sealed:
             headers_sent += ((b"response-seal", b"seal-" + attempt),)
+        headers_sent += self.announced
         return Response(status, headers_sent, b"ran by " + own_id)
--- a/tests/cover/test_admission_outcomes.py
+++ b/tests/cover/test_admission_outcomes.py
@@ -93,7 +93,7 @@
     @rule()
     def expire(self):
         self.apply(self.admission.expire(self.now_ms))
-        next_ms = self.admission.next_expiry_ms()
+        next_ms = self.admission.next_advance_ms()
         assert (next_ms is None) == (not self.waiting)
         assert next_ms is None or next_ms > self.now_ms
 
