Send nothing new to a target that says that it leaves

The node beside the target refuses new work for that target's id from the first such answer on, until the platform lists a later start, also under the same id. Refusals of a leaving host no longer draw on the retry limit: the attempt never reached a backend server, and during the announcement every entry gets one. They tell other entries to avoid the target for a second.

--- a/src/jacinthshed/internal/flow/announcements.py
+++ b/src/jacinthshed/internal/flow/announcements.py
@@ -7,13 +7,18 @@
 from ..fence.instant import Instant
 from ..telemetry.log import LogDecision
 from ..wire.frames import Submit
+from .arrival_check import ArrivalCheck
 from .backend_outcome import BackendAnswer, BackendResult
 
 
 class Announcement(NamedTuple):
-    """The requests per second that a backend server takes; ``None`` if not named."""
+    """The requests per second that a backend server takes, and whether it leaves.
+
+    ``rate_per_s`` is ``None`` if the answer names no rate.
+    """
 
     rate_per_s: float | None = None
+    is_leaving: bool = False
 
 
 ReadAnnouncement = Callable[[BackendAnswer], Announcement]
@@ -27,6 +32,7 @@
     *,
     read: ReadAnnouncement,
     rate: AnnouncedRate,
+    check: ArrivalCheck,
     log: LogDecision,
 ) -> RecordAnnouncement:
     """Return the function that records the announcements of one backend server."""
@@ -38,5 +44,7 @@
         if rate.announce(at.now_ms, announced.rate_per_s):
             rate_per_s = rate.rate_per_s if rate.is_limited else None
             log("rate_announced", target_id=submit.target_id, rate_per_s=rate_per_s)
+        if announced.is_leaving and check.target_announced_leave(submit.target_id):
+            log("leave_announced", target_id=submit.target_id)
 
     return record
--- a/src/jacinthshed/internal/flow/arrival_check.py
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -11,6 +11,9 @@
 
 RUN_ALONE_RETRY_AFTER_MS = 100
 LEAVING_RETRY_AFTER_MS = 50
+# Other nodes learn only from refusals, or from the platform's list, that a target has
+# announced its leave.
+ANNOUNCED_LEAVE_RETRY_AFTER_MS = 1_000
 UNREACHABLE_RETRY_AFTER_MS = 500
 NO_BUNDLE_RETRY_AFTER_MS = 500
 
@@ -33,6 +36,8 @@
         self._suspects = suspects
         self._shed_below_ms = shed_below_ms
         self._refuses_new_work = False
+        self._left_target_id = ""
+        self._target_started_ms = 0
         self.backend_is_up = True
         self.target_is_leaving = False
         self.is_known_to_service = False
@@ -41,6 +46,22 @@
         """Refuse all new work from now on."""
         self._refuses_new_work = True
 
+    def target_announced_leave(self, target_id: str) -> bool:
+        """Refuse new work for ``target_id``; return whether it announced that first."""
+        is_first = target_id != self._left_target_id
+        self._left_target_id = target_id
+        return is_first
+
+    def target_listed(self, *, started_ms: int, is_leaving: bool) -> None:
+        """Record what the platform lists about the target beside this node.
+
+        A target that started again, maybe under its old id, has not announced a leave.
+        """
+        self.target_is_leaving = is_leaving
+        if started_ms > self._target_started_ms:
+            self._target_started_ms = started_ms
+            self._left_target_id = ""
+
     def refusal(self, at: Instant, submit: Submit, fingerprint: int) -> Refusal | None:
         """Return why the attempt is refused, or ``None``."""
         refusal = self._policy_refusal(submit)
@@ -52,6 +73,9 @@
             return _refuse(Reason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_MS, detail)
         if self._refuses_new_work or self.target_is_leaving:
             return _refuse(Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
+        if submit.target_id and submit.target_id == self._left_target_id:
+            detail = "the backend server has announced that it leaves"
+            return _refuse(Reason.LEAVING, ANNOUNCED_LEAVE_RETRY_AFTER_MS, detail)
         if not self.backend_is_up:
             detail = "the backend server does not accept connections"
             return _refuse(Reason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_MS, detail)
--- a/src/jacinthshed/internal/flow/unfenced.py
+++ b/src/jacinthshed/internal/flow/unfenced.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Generator
 
-from ..verdict import Refusal, Verdict
+from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Reply
 from .call import Attempt, Call
 from .replies import is_intact, refusal_from_reply
@@ -90,6 +90,9 @@
 def _is_retry_allowed(call: Call, tools: CallTools, refusal: Refusal) -> bool:
     if not call.idempotent and refusal.verdict is not Verdict.NOT_RUN:
         return False
+    if refusal.reason is Reason.LEAVING:
+        # The node refused it, so the attempt never loaded a backend server.
+        return True
     return is_retryable(refusal) and tools.may_retry(call)
 
 
--- a/src/jacinthshed/internal/node/components.py
+++ b/src/jacinthshed/internal/node/components.py
@@ -79,6 +79,7 @@
         record_announcement=announcement_recorder(
             read=env.adapter.read_announcement,
             rate=state.admission.rate,
+            check=state.check,
             log=env.log,
         ),
         is_backend_up=env.is_backend_up,
--- a/src/jacinthshed/internal/node/policy_applier.py
+++ b/src/jacinthshed/internal/node/policy_applier.py
@@ -76,7 +76,9 @@
             self.update_members(service)
         listed = self._state.directory.target_at(self._backend_address)
         if listed is not None:
-            self._state.check.target_is_leaving = listed.leaving
+            self._state.check.target_listed(
+                started_ms=listed.started_wall_ms, is_leaving=listed.leaving
+            )
         if self._policy is not None:
             at = Instant(self._clock.now_ms(), self._clock.wall_ms())
             self._resize(at, self._policy)
--- a/src/jacinthshed/internal/platform/headers.py
+++ b/src/jacinthshed/internal/platform/headers.py
@@ -18,3 +18,5 @@
 CONTENT_ENCODING = b"content-encoding"
 # Requests per second that a target takes from all machines together, while it says so.
 SERVER_LIMIT = b"server-limit"
+# "1" in all answers of a target that leaves.
+SERVER_LEAVING = b"server-leaving"
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -29,6 +29,7 @@
     PIN_INSTANCE,
     RESPONSE_SEAL,
     RETRY_AFTER,
+    SERVER_LEAVING,
     SERVER_LIMIT,
 )
 
@@ -232,7 +233,10 @@
 
 
 def _read_announcement(answer: BackendAnswer) -> Announcement:
-    return Announcement(_read_rate(header(answer.headers, SERVER_LIMIT)))
+    return Announcement(
+        rate_per_s=_read_rate(header(answer.headers, SERVER_LIMIT)),
+        is_leaving=header(answer.headers, SERVER_LEAVING) == b"1",
+    )
 
 
 def _read_rate(value: bytes | None) -> float | None:
