Refuse entries of targets whose numbers or addresses can't be used

A report of other operators: one odd entry among those of the targets made machines end, or stop following the list.

A start or a number of slots above 64 bits was taken, and the frame with all changes could then not be encoded, so that nodes that don't read the store learned of no further target (and of no leave). A time of warming that overflows, and a port of thousands of digits, raised an error in each reading of the whole list. No process ended. Entries with nested values, wrong ports, half a surrogate pair or odd ids did no harm before.

The class: a value that was checked for its type, but not for its range, where it enters. A property test encodes each entry that is taken into the frame for peers.

--- a/src/jacinthshed/internal/settings/address.py
+++ b/src/jacinthshed/internal/settings/address.py
@@ -26,7 +26,8 @@
     The failure is a text that says what was expected. Host names are refused.
     """
     ip, colon, port = text.rpartition(":")
-    if not colon or not (port.isascii() and port.isdigit()) or int(port) > MAX_PORT:
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not colon or not is_number or int(port) > MAX_PORT:
         return Failure(f"IP:PORT with a port from 0 to {MAX_PORT}")
     is_bracketed = ip.startswith("[") and ip.endswith("]")
     if ":" in ip and not is_bracketed:
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -12,6 +12,8 @@
 from jacinthshed.internal.platform.policy_document import policy_document_opener
 from jacinthshed.internal.platform.store import Item
 from jacinthshed.internal.platform.target_entries import parse_entry
+from jacinthshed.internal.wire.codec import FrameBuffer, encode
+from jacinthshed.internal.wire.targets import TargetsData
 from tests.common.machines import HOST, desired_state, entry_of, route
 
 OPEN_BUNDLE = policy_document_opener(Bounds(), ReaderPolicy())
@@ -76,8 +78,11 @@
 @settings(max_examples=200)
 @given(st.fixed_dictionaries({}, optional=dict.fromkeys(ENTRY, VALUES)))
 def test_an_entry_with_any_fields_gives_a_valid_target_or_none(fields):
-    entry = entry_from(json.dumps({**ENTRY, **fields}).encode()).entry
+    change = entry_from(json.dumps({**ENTRY, **fields}).encode())
+    entry = change.entry
     assert entry is None or (entry.slots > 0 and entry.host)
+    sent = TargetsData(7, (change,))
+    assert list(FrameBuffer().feed(encode(sent))) == [sent]
 
 
 @settings(max_examples=200)
