--- a/tests/common/silent_connections.py
+++ b/tests/common/silent_connections.py
@@ -11,6 +11,7 @@
 from tests.common.streams import SilenceableStream
 
 SERVICES = "abcd"
+PEER_PORT = ":3"
 
 
 class SilentMachines(Machines):
@@ -39,7 +40,8 @@
     def go_silent(self, *, store=True, peers=True):
         """Let open connections deliver nothing any more, without an error."""
         for stream in self.streams:
-            if store if stream.ends == STORE else peers:
+            is_peer = stream.ends.endswith(PEER_PORT)
+            if (store and stream.ends == STORE) or (peers and is_peer):
                 stream.silent = True
 
     async def silence_store(self, *, for_s, expire_entries=False):
