Fail a call to the store whose connection opens late

Two of nine new cases failed before: all targets of a service were gone at nodes after an outage of 3.5 s. They pass now.

--- a/src/jacinthshed/internal/platform/store.py
+++ b/src/jacinthshed/internal/platform/store.py
@@ -40,7 +40,6 @@
 _T = TypeVar("_T")
 Query = dict[str, str | int]
 
-
 log = get_logger(__name__)
 
 
@@ -144,15 +143,20 @@
 def http_store_client(*, address: str, connect: Connect) -> StoreClient:
     """Return a client of the store at ``address``, in the form ``IP:PORT``.
 
-    Each call opens a new connection, since a kept one may be dead without notice.
+    Each call opens a new connection, since a kept one may be dead without notice. One
+    that opens late fails the call: a watch that outlives an outage in this way would
+    look as if there had been none.
     """
 
     async def call(
         path: str, query: Query, answer_type: type[_T], wait_ms: int = 0
     ) -> Result[_Answer[_T], StoreError]:
+        stream = await _open(connect, address)
+        if isinstance(stream, Failure):
+            return Failure(stream.failure())
         timeout_ms = READ_TIMEOUT_MS + wait_ms
         with trio.move_on_after(timeout_ms / _MS_PER_S):
-            answer = await _get(connect, address, f"{path}?{urlencode(query)}")
+            answer = await _get(stream.unwrap(), address, f"{path}?{urlencode(query)}")
             return answer.bind(lambda got: _decode(got, answer_type))
         return Failure(
             StoreError(StoreErrorKind.TIMEOUT, f"no answer in {timeout_ms} ms")
@@ -212,22 +216,35 @@
     return StoreError(StoreErrorKind.RESTORED, detail)
 
 
+async def _open(connect: Connect, address: str) -> Result[trio.abc.Stream, StoreError]:
+    with trio.move_on_after(READ_TIMEOUT_MS / _MS_PER_S):
+        try:
+            return Success(await connect(address))
+        except (OSError, trio.BrokenResourceError) as error:
+            return Failure(_unreachable(address, error))
+    detail = f"no connection in {READ_TIMEOUT_MS} ms"
+    return Failure(StoreError(StoreErrorKind.TIMEOUT, detail))
+
+
 async def _get(
-    connect: Connect, address: str, path: str
+    stream: trio.abc.Stream, address: str, path: str
 ) -> Result[HttpResponse, StoreError]:
     try:
-        stream = await connect(address)
         answer = await http_get(
             stream, host=address, path=path, max_body_bytes=MAX_BODY_BYTES
         )
     except (BodyTooLargeError, h11.ProtocolError) as error:
         return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
     except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
-        detail = str(error) or type(error).__name__
-        return Failure(StoreError(StoreErrorKind.UNREACHABLE, f"{address}: {detail}"))
+        return Failure(_unreachable(address, error))
     return Success(answer)
 
 
+def _unreachable(address: str, error: Exception) -> StoreError:
+    detail = str(error) or type(error).__name__
+    return StoreError(StoreErrorKind.UNREACHABLE, f"{address}: {detail}")
+
+
 _KIND_OF_STATUS = {
     410: StoreErrorKind.COMPACTED,
     429: StoreErrorKind.BUSY,
--- a/tests/common/silent_connections.py
+++ b/tests/common/silent_connections.py
@@ -20,10 +20,15 @@
     def __init__(self, nursery, *, seed):
         super().__init__(nursery, seed=seed)
         self.streams = []
+        self._drops_connects = False
         self.network = Network(self._connect, self.network.listen)
         self.ips = [f"10.{zone}.0.{15 + n}" for zone in (1, 2, 3) for n in range(4)]
 
     async def _connect(self, address):
+        retransmission_s = 1
+        while self._drops_connects and address == STORE:
+            await trio.sleep(retransmission_s)
+            retransmission_s *= 2
         stream = await self.memory_network.connect(address)
         self.streams.append(SilenceableStream(stream, address))
         return self.streams[-1]
@@ -44,16 +49,20 @@
             if (store and stream.ends == STORE) or (peers and is_peer):
                 stream.silent = True
 
-    async def silence_store(self, *, for_s, expire_entries=False):
+    async def silence_store(self, *, for_s, expire_entries=False, drops_connects=False):
         """Let the store neither answer on open connections nor on new ones.
 
-        With ``expire_entries``, no target can renew its entry meanwhile.
+        With ``expire_entries``, no target can renew its entry meanwhile. With
+        ``drops_connects``, new connections are not accepted; TCP opens them when it
+        tries again after the outage.
         """
         self.go_silent(peers=False)
+        self._drops_connects = drops_connects
         self.store.faults.extend([StoreFaultMode.SILENT] * 10_000)
         await trio.sleep(for_s)
         if expire_entries:
             self.expire_entries()
+        self._drops_connects = False
         self.store.faults.clear()
 
     def expire_entries(self):
--- a/tests/cover/test_platform_expired_targets.py
+++ b/tests/cover/test_platform_expired_targets.py
@@ -5,6 +5,7 @@
 
 from jacinthshed.internal.standin.store_state import StoreFaultMode
 from tests.common.fleet import run_virtual
+from tests.common.restored_store import write_entry
 from tests.common.silent_connections import silent_machines
 
 # Live targets are listed again within about this time after the store's return.
@@ -30,6 +31,25 @@
     run_virtual(main)
 
 
+@pytest.mark.parametrize("outage_s", [3.5, 4, 5])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_call_that_is_connected_after_an_outage_removes_all_targets(seed, outage_s):
+    # A watch that began in the outage is answered after it, without any failure.
+    async def main():
+        async with silent_machines(seed) as fleet:
+            # Two changes, so that the next watches begin after the outage has.
+            for slots in (5, 6):
+                write_entry(fleet, fleet.ips[0], "a", slots=slots, zone="west-1")
+                await trio.sleep(0.2)
+            await fleet.silence_store(
+                for_s=outage_s, expire_entries=True, drops_connects=True
+            )
+            await fleet.list_again(within_s=RELIST_S)
+            await assert_targets_are_kept(fleet)
+
+    run_virtual(main)
+
+
 @pytest.mark.parametrize("delay_s", [0.1, 1])
 def test_a_node_that_starts_after_an_outage_removes_all_targets(delay_s):
     async def main():
--- a/tests/cover/test_platform_silent_connections.py
+++ b/tests/cover/test_platform_silent_connections.py
@@ -50,11 +50,14 @@
 
 
 @pytest.mark.parametrize("outage_s", [1, 2, 4, 9.5])
+@pytest.mark.parametrize("drops_connects", [False, True])
 @pytest.mark.parametrize("seed", range(2))
-def test_a_policy_is_late_after_an_outage_in_which_readers_wait(seed, outage_s):
+def test_a_policy_is_late_after_an_outage_in_which_readers_wait(
+    seed, outage_s, drops_connects
+):
     async def main():
         async with silent_machines(seed) as fleet:
-            await fleet.silence_store(for_s=outage_s)
+            await fleet.silence_store(for_s=outage_s, drops_connects=drops_connects)
             await assert_in_force_once_stable(fleet, 3)
 
     run_virtual(main)
