--- a/src/jacinthshed/internal/node/components.py
+++ b/src/jacinthshed/internal/node/components.py
@@ -68,22 +68,7 @@
     proxy = _RouterProxy()
     links = _build_links(env, state, holder, proxy)
     pool = _build_pool(env)
-    dispatcher = Dispatcher(
-        target=state.target,
-        pool=pool,
-        links=links,
-        clock=env.clock,
-        adapter=env.adapter,
-        sizes=lambda: size_limits(holder),
-        fence_left_ms=lambda token: fence_left_ms(env.clock, token),
-        record_announcement=announcement_recorder(
-            read=env.adapter.read_announcement,
-            rate=state.admission.rate,
-            check=state.check,
-            log=env.log,
-        ),
-        is_backend_up=env.is_backend_up,
-    )
+    dispatcher = _build_dispatcher(env, state, holder, links, pool)
     applier = PolicyApplier(
         state=state,
         reader=reader,
@@ -106,6 +91,31 @@
     )
 
 
+def _build_dispatcher(
+    env: Environment,
+    state: NodeState,
+    holder: PolicyHolder,
+    links: LinkTable,
+    pool: BackendPool,
+) -> Dispatcher:
+    return Dispatcher(
+        target=state.target,
+        pool=pool,
+        links=links,
+        clock=env.clock,
+        adapter=env.adapter,
+        sizes=lambda: size_limits(holder),
+        fence_left_ms=lambda token: fence_left_ms(env.clock, token),
+        record_announcement=announcement_recorder(
+            read=env.adapter.read_announcement,
+            rate=state.admission.rate,
+            check=state.check,
+            log=env.log,
+        ),
+        is_backend_up=env.is_backend_up,
+    )
+
+
 def _build_updates(
     env: Environment, state: NodeState, applier: PolicyApplier
 ) -> TargetUpdates:
@@ -237,12 +247,9 @@
 
     def linked() -> list[str]:
         now_ms = clock.now_ms()
-        confirmed = (
-            link.peer.record.host
-            for link in links.stream_links()
-            if link.peer is not None and link.health.is_confirmed(now_ms)
-        )
-        return [host for host in confirmed if host]
+        open_links = links.stream_links()
+        peers = [link.peer for link in open_links if link.health.is_confirmed(now_ms)]
+        return [peer.record.host for peer in peers if peer and peer.record.host]
 
     return Gossiper(
         view=state.view,
