--- a/benchmarks/bench_gossip.py
+++ b/benchmarks/bench_gossip.py
@@ -18,6 +18,7 @@
 from jacinthshed.internal.bundle.signing import generate_key
 from jacinthshed.internal.bundle.store import OfferOutcome
 from jacinthshed.internal.membership.link_health import LinkHealth
+from jacinthshed.internal.membership.overlay import NEIGHBOUR_COUNT
 from jacinthshed.internal.membership.view import View
 from jacinthshed.internal.wire.codec import decode, encode
 from jacinthshed.internal.wire.frames import Gossip, Heartbeat
@@ -232,24 +233,30 @@
     ]
 
 
-def measure_idle_links(links: int) -> list[Row]:
-    """Return the cost of idle links: heartbeats both ways with headers, and ticks."""
+def measure_idle_links(links: int, *, carries_gossip: bool) -> list[Row]:
+    """Return the cost of idle links: heartbeats both ways with headers, and ticks.
+
+    Links to gossip neighbours have more heartbeats; ``carries_gossip`` stands for them.
+    """
     policy = MembershipPolicy()
     health = [LinkHealth(now_ms=0.0, policy=policy) for _ in range(links)]
     frames = 0
     started_s = process_time()
     for now_ms in range(0, IDLE_MS, int(TICK_MS)):
         for link in health:
-            if not link.is_silent(now_ms) and link.is_heartbeat_due(now_ms):
+            if not link.is_silent(now_ms) and link.is_heartbeat_due(
+                now_ms, carries_gossip=carries_gossip
+            ):
                 frames += 2
                 link.heartbeat_sent(now_ms)
                 link.frame_received(now_ms)
     spent_us = (process_time() - started_s) * 1e6
     size = len(encode(Heartbeat(1_000_000, True))) + PACKET_HEADER_BYTES
     seconds = IDLE_MS / 1_000
+    name = "links of neighbours" if carries_gossip else "idle links"
     return [
-        Row("idle links", links, 0.0, frames * size / seconds, "B/s"),
-        Row("idle links cpu", links, 0.0, spent_us / seconds, "us/s"),
+        Row(name, links, 0.0, frames * size / seconds, "B/s"),
+        Row(f"{name} cpu", links, 0.0, spent_us / seconds, "us/s"),
     ]
 
 
@@ -274,7 +281,12 @@
     parser.add_argument("--out", type=Path, required=True)
     parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
     arguments = parser.parse_args()
-    rows = [row for links in IDLE_LINKS for row in measure_idle_links(links)]
+    rows = [
+        row
+        for links in IDLE_LINKS
+        for row in measure_idle_links(links, carries_gossip=False)
+    ]
+    rows += measure_idle_links(NEIGHBOUR_COUNT, carries_gossip=True)
     rows += measure_bundle()
     for size in arguments.sizes:
         rows += measure_memory(size)
