--- a/src/jacinthshed/internal/bundle/read_scheduler.py
+++ b/src/jacinthshed/internal/bundle/read_scheduler.py
@@ -26,14 +26,14 @@
 # message: otherwise the same answer, reported back and forth, would seem more recent
 # each time, and its age would never reach the threshold.
 HOP_DELAY_MS = 100.0
-# After this time without an answer, entries that have to be renewed may have expired.
+# After this time without an answer, entries may have expired: nobody could renew them,
+# and they last for three intervals of at least a second each.
 EXPIRY_AFTER_MS = 3_000.0
 # Entries that expired in an outage are listed again within about this time.
 RELIST_MS = 2_000.0
 # Largest deviation from the time between two calls, as a share of it.
 BATCH_JITTER = 0.4
 
-
 _READERS_ARE_QUIET = "readers are quiet"
 _INCOMPLETE = "last reading was incomplete"
 
--- a/src/jacinthshed/internal/flow/arrival_check.py
+++ b/src/jacinthshed/internal/flow/arrival_check.py
@@ -36,7 +36,7 @@
         self._suspects = suspects
         self._shed_below_ms = shed_below_ms
         self._refuses_new_work = False
-        self._left_target_id = ""
+        self._leaving_target_id = ""
         self._target_started_ms = 0
         self.backend_is_up = True
         self.target_is_leaving = False
@@ -48,8 +48,8 @@
 
     def target_announced_leave(self, target_id: str) -> bool:
         """Refuse new work for ``target_id``; return whether it announced that first."""
-        is_first = target_id != self._left_target_id
-        self._left_target_id = target_id
+        is_first = target_id != self._leaving_target_id
+        self._leaving_target_id = target_id
         return is_first
 
     def target_listed(self, *, started_ms: int, is_leaving: bool) -> None:
@@ -60,7 +60,7 @@
         self.target_is_leaving = is_leaving
         if started_ms > self._target_started_ms:
             self._target_started_ms = started_ms
-            self._left_target_id = ""
+            self._leaving_target_id = ""
 
     def refusal(self, at: Instant, submit: Submit, fingerprint: int) -> Refusal | None:
         """Return why the attempt is refused, or ``None``."""
@@ -73,7 +73,7 @@
             return _refuse(Reason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_MS, detail)
         if self._refuses_new_work or self.target_is_leaving:
             return _refuse(Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
-        if submit.target_id and submit.target_id == self._left_target_id:
+        if submit.target_id and submit.target_id == self._leaving_target_id:
             detail = "the backend server has announced that it leaves"
             return _refuse(Reason.LEAVING, ANNOUNCED_LEAVE_RETRY_AFTER_MS, detail)
         if not self.backend_is_up:
--- a/src/jacinthshed/internal/node/frame_router.py
+++ b/src/jacinthshed/internal/node/frame_router.py
@@ -177,7 +177,7 @@
         self._updates.change_by_peer(data.revision, data.changes)
 
     def _on_targets_list(self, channel: Channel, found: TargetsList) -> None:
-        # It may have to be requested again soon, and is long.
+        # It is long, and may have to be requested again: not before the usual interval.
         self._updates.replace_by_peer(found.revision, found.entries)
 
     def _request_newer_bundle(self, channel: Channel, order: BundleOrder) -> None:
