--- a/tests/common/platform_soak.py
+++ b/tests/common/platform_soak.py
@@ -14,6 +14,8 @@
 QUIET_S = 14
 # Bounds of the platform: see tests/cover/test_platform_silent_connections.py.
 STABLE_WINDOW_S, APPLY_S, WINDOW_S = 3, 2, 4
+# The grace period of the platform.
+MAX_LEAVE_S = 6
 LIMIT_PER_S = 5.0
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 ROUTES = [
@@ -36,6 +38,7 @@
         self._answers = defaultdict(list)
         self._stable_from_s = 0.0
         self._limited_s = {}
+        self._restarting = set()
         self._outage = trio.Lock()
 
     async def run(self):
@@ -93,13 +96,13 @@
 
     async def _restart_node(self):
         ip = self._random.choice(self._entries)
-        node = self._fleet.nodes[ip]
-        if node.is_leaving:
+        if ip in self._restarting:
             return
+        self._restarting.add(ip)
         self._unstable_until(trio.current_time() + 10)
-        node.leave()
+        self._fleet.nodes[ip].leave()
         service = SERVICES[self._fleet.ips.index(ip) % 4]
-        while True:
+        for _ in range(MAX_LEAVE_S * 2):
             await trio.sleep(0.5)
             zone, seeds = self._fleet.zone_of(ip), self._fleet.ips[:3]
             try:
@@ -109,7 +112,9 @@
                 # The process before still has its addresses.
                 is_started = False
             if is_started:
+                self._restarting.discard(ip)
                 return
+        self.problems.append(f"the node at {ip} still runs {MAX_LEAVE_S} s after leave")
 
     async def _limit_target(self):
         ip = self._random.choice(self._fleet.ips)
