--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A node that is stopped as planned drops requests that wait at a target's node."""
+"""One entry of another writer, with an address that can't be read, ends every node."""
 
 import asyncio
 import signal
@@ -7,107 +7,109 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from stand import BOUNDS, Client, CouldNotRunError, config, play, route
+from stand import CouldNotRunError, KeptClient, config, play, route
 
-SERVICE = "taller"
-SLOTS = 8
-WORK_S = 0.1
-# Two targets serve 160 requests a second. Orders take nearly all of that.
-ORDERS_PER_S = 152
-LOOKUPS_PER_S = 8
-LOOKUPS_AT_STOPPED_PER_S = 8
-DEADLINE_MS = 5_000
-WARM_UP_S = 8.0
-# The platform sends a machine's clients elsewhere after two missed questions.
-CLIENTS_STAY_S = 2.0
-AFTER_S = 9.0
+NODES = 3
+SLOTS = 20
+WORK_S = 0.3
+CLIENTS = 8
+DEADLINE_MS = 3_000
+STEADY_S = 3.0
+WATCHED_S = 30.0
+RESTART_DELAY_S = 0.5
+# LOST: more than three times; Fault: three ends on two machines at least.
+ALLOWED_CLOSES = 3
+ENDS = 3
+# The letter U+FFFD stands for bytes that could not be read.
+ODD_ENTRY = {
+    "service": "unknown",
+    "address": "[fe80::1%\ufffd]:8301",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 20,
+    "state": "ready",
+    "cold_left_s": 0,
+    "seq": 1,
+}
 
 
 async def play_case(fleet, trouble):
-    """Keep two targets busy, then stop one of two entry nodes."""
-    for _ in range(2):
-        await fleet.add(SERVICE, slots=SLOTS, work_s=WORK_S)
-    busy = await fleet.add("front", slots=SLOTS, work_s=WORK_S)
-    stopped = await fleet.add("front", slots=SLOTS, work_s=WORK_S)
+    """Let clients send orders, and write one odd entry into the store."""
+    for _ in range(NODES):
+        await fleet.add("taller", slots=SLOTS, work_s=WORK_S)
     routes = [
         route(
-            "order", SERVICE, kind="non_idempotent", timeout_s=5, slo_s=1, priority=0
-        ),
-        route("lookup", SERVICE, kind="idempotent", timeout_s=5, slo_s=1, priority=2),
+            "order", "taller", kind="non_idempotent", timeout_s=3, slo_s=1, priority=0
+        )
+    ]
+    await fleet.start(config(routes, {"taller": 460}))
+    clients = [
+        KeptClient(fleet.record, node.entry, f"c{number}n{index}")
+        for index, node in enumerate(fleet.nodes)
+        for number in range(CLIENTS)
     ]
-    await fleet.start(config(routes, {SERVICE: 460, "front": 460}))
-    load = _Load(fleet)
-    steady = [
-        asyncio.ensure_future(load.run(busy, "o", "POST", "/order/", ORDERS_PER_S)),
-        asyncio.ensure_future(load.run(busy, "l", "GET", "/lookup/", LOOKUPS_PER_S)),
+    sending = [
+        asyncio.ensure_future(
+            client.run("POST", "shop.example", "/order/", DEADLINE_MS, b"{}")
+        )
+        for client in clients
     ]
-    clients = asyncio.ensure_future(
-        load.run(stopped, "x", "GET", "/lookup/", LOOKUPS_AT_STOPPED_PER_S)
-    )
-    await asyncio.sleep(WARM_UP_S)
-    stop_s = fleet.record.now_s()
+    await asyncio.sleep(STEADY_S)
     if trouble:
-        stopped.signal(signal.SIGTERM)
-    await asyncio.sleep(CLIENTS_STAY_S)
-    clients.cancel()
-    await asyncio.sleep(AFTER_S)
-    for task in steady:
+        fleet.store.put("servers/i-odd", ODD_ENTRY)
+        fleet.record.write("another writer's entry is in the store")
+    keeping = [
+        asyncio.ensure_future(_keep_running(fleet, node)) for node in fleet.nodes
+    ]
+    await asyncio.sleep(WATCHED_S)
+    for task in (*keeping, *sending):
         task.cancel()
-    answers = await asyncio.gather(*load.sends)
-    return _judge(fleet, answers, stop_s)
-
-
-class _Load:
-    """Requests at a steady rate, whether or not earlier ones were answered."""
+    await asyncio.gather(*keeping, *sending, return_exceptions=True)
+    return _judge(fleet, clients)
 
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.sends = []
 
-    async def run(self, node, mark, method, path, per_s):
-        client = Client(self.fleet.record, node.entry)
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        number = 0
-        while True:
-            number += 1
-            sending = client.send(
-                f"{mark}{number:05d}",
-                method,
-                "shop.example",
-                f"{path}{number}",
-                deadline_ms=DEADLINE_MS,
-                body=b"{}" if method == "POST" else b"",
-            )
-            self.sends.append(asyncio.ensure_future(sending))
-            await asyncio.sleep(max(0, started_s + number / per_s - loop.time()))
+async def _keep_running(fleet, node):
+    """Restart a process that ended by itself, as the platform does."""
+    while True:
+        await asyncio.sleep(0.05)
+        code = node.child.poll()
+        if code is None:
+            continue
+        node.exits.append(code)
+        fleet.record.write(f"node {node.target.ip} ended by itself with {code}")
+        await asyncio.sleep(RESTART_DELAY_S)
+        node.start(first_start=False)
 
 
-def _judge(fleet, answers, stop_s):
-    counts = {}
-    for answer in answers:
-        key = (answer.attempt[0], answer.status)
-        counts[key] = counts.get(key, 0) + 1
-    fleet.record.write(f"answers by sender and status: {counts}")
-    if not counts.get(("o", 200)):
+def _judge(fleet, clients):
+    if not any(client.answers.get(200) for client in clients):
         raise CouldNotRunError("no order was served")
-    reached = {attempt for target in fleet.targets for _, attempt, _ in target.arrivals}
+    if any(code == -signal.SIGKILL for node in fleet.nodes for code in node.exits):
+        raise CouldNotRunError("something else killed a node")
+    passed_on = {
+        attempt for target in fleet.targets for _, attempt, _ in target.arrivals
+    }
     breaches = []
-    for answer in answers:
-        if answer.status or answer.attempt[0] != "x":
-            continue
-        waited_s = answer.ended_s - answer.sent_s
-        # A request that crossed the close wasn't read; one that a target works on at
-        # the end of the grace period is excused.
-        if waited_s <= BOUNDS["lost_s"] or answer.attempt in reached:
-            continue
-        if waited_s >= DEADLINE_MS / 1_000:
-            continue
-        breaches.append(
-            f"LOST {answer.attempt} was sent {answer.sent_s - stop_s:.2f} s after"
-            " SIGTERM, reached no target and lost its connection after"
-            f" {waited_s:.2f} s ({answer.error})"
+    for node in fleet.nodes:
+        closes = [
+            attempt
+            for client in clients
+            if client.address == node.entry
+            for attempt in client.closed_without_answer
+            if attempt in passed_on
+        ]
+        fleet.record.write(
+            f"node {node.target.ip}: ended by itself {len(node.exits)} times, closed"
+            f" {len(closes)} connections with a request that was passed on"
         )
+        if len(closes) > ALLOWED_CLOSES:
+            breaches.append(
+                f"LOST node {node.target.ip} passed {len(closes)} requests on and"
+                " closed their connections without an answer"
+            )
+    often = [node for node in fleet.nodes if len(node.exits) >= ENDS]
+    if len(often) > 1:
+        fleet.record.write(f"Fault: {len(often)} nodes ended three times or more")
     return breaches
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""A target's leaving stays unknown while the store turns its readers away."""
+"""A node that is stopped as planned drops requests that wait at a target's node."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -8,101 +9,106 @@
 
 from stand import BOUNDS, Client, CouldNotRunError, config, play, route
 
-# The store turns away 2 of 6 machines, a third, for 9 seconds.
-NODES = 6
-TURNED_AWAY = 2
-TURNED_AWAY_S = 9.0
-SETTLE_S = 6.0
-SLOTS = 20
-WORK_S = 0.3
-ORDERS_PER_S = 40
-ORDERS_S = 11.0
-# The target serves a little longer than it has to.
-EXTRA_S = 1.0
-DEADLINE_MS = 3_000
-# This covers the way of a request.
-MARGIN_S = 0.1
+SERVICE = "taller"
+SLOTS = 8
+WORK_S = 0.1
+# Two targets serve 160 requests a second. Orders take nearly all of that.
+ORDERS_PER_S = 152
+LOOKUPS_PER_S = 8
+LOOKUPS_AT_STOPPED_PER_S = 8
+DEADLINE_MS = 5_000
+WARM_UP_S = 8.0
+# The platform sends a machine's clients elsewhere after two missed questions.
+CLIENTS_STAY_S = 2.0
+AFTER_S = 9.0
 
 
 async def play_case(fleet, trouble):
-    """Turn two nodes away from the store, then let a target leave."""
-    for number in range(NODES):
-        address = await fleet.store.listen(f"127.0.0.{100 + number}")
-        service = "taller" if number < NODES // 2 else "front"
-        await fleet.add(service, slots=SLOTS, work_s=WORK_S, store_address=address)
+    """Keep two targets busy, then stop one of two entry nodes."""
+    for _ in range(2):
+        await fleet.add(SERVICE, slots=SLOTS, work_s=WORK_S)
+    busy = await fleet.add("front", slots=SLOTS, work_s=WORK_S)
+    stopped = await fleet.add("front", slots=SLOTS, work_s=WORK_S)
     routes = [
         route(
-            "order", "taller", kind="non_idempotent", timeout_s=3, slo_s=1, priority=0
-        )
+            "order", SERVICE, kind="non_idempotent", timeout_s=5, slo_s=1, priority=0
+        ),
+        route("lookup", SERVICE, kind="idempotent", timeout_s=5, slo_s=1, priority=2),
     ]
-    await fleet.start(config(routes, {"taller": 460, "front": 460}))
-    orders = asyncio.ensure_future(_send_orders(fleet))
-    await asyncio.sleep(SETTLE_S)
-    readers = sorted(fleet.nodes, key=lambda node: fleet.last_call_s(node))
-    readers = readers[-TURNED_AWAY:]
-    fleet.record.write(f"read the store last: {[n.target.ip for n in readers]}")
-    if trouble:
-        for node in readers:
-            fleet.store.turn_away(node.store_address)
-            fleet.record.write(f"store turns {node.target.ip} away")
-    await asyncio.sleep(0.2)
-    leaving = fleet.targets[0]
-    confirmed_s = fleet.store.put(
-        f"servers/{leaving.target_id}", leaving.entry("draining")
+    await fleet.start(config(routes, {SERVICE: 460, "front": 460}))
+    load = _Load(fleet)
+    steady = [
+        asyncio.ensure_future(load.run(busy, "o", "POST", "/order/", ORDERS_PER_S)),
+        asyncio.ensure_future(load.run(busy, "l", "GET", "/lookup/", LOOKUPS_PER_S)),
+    ]
+    clients = asyncio.ensure_future(
+        load.run(stopped, "x", "GET", "/lookup/", LOOKUPS_AT_STOPPED_PER_S)
     )
-    fleet.record.write(f"store confirms that {leaving.target_id} is draining")
-    leaving.leaving = True
-    await asyncio.sleep(BOUNDS["drain_s"] + EXTRA_S)
-    fleet.record.write(f"target {leaving.target_id} exits")
-    leaving.end()
-    fleet.store.delete(f"servers/{leaving.target_id}")
-    await asyncio.sleep(TURNED_AWAY_S - 0.2 - BOUNDS["drain_s"] - EXTRA_S)
-    fleet.store.serve_again()
-    return _judge(fleet, await orders, leaving, confirmed_s)
+    await asyncio.sleep(WARM_UP_S)
+    stop_s = fleet.record.now_s()
+    if trouble:
+        stopped.signal(signal.SIGTERM)
+    await asyncio.sleep(CLIENTS_STAY_S)
+    clients.cancel()
+    await asyncio.sleep(AFTER_S)
+    for task in steady:
+        task.cancel()
+    answers = await asyncio.gather(*load.sends)
+    return _judge(fleet, answers, stop_s)
 
 
-async def _send_orders(fleet):
-    loop = asyncio.get_running_loop()
-    started_s = loop.time()
-    sends = []
-    fronts = [node for node in fleet.nodes if node.target.service == "front"]
-    while loop.time() < started_s + SETTLE_S + ORDERS_S:
-        number = len(sends)
-        client = Client(fleet.record, fronts[number % len(fronts)].entry)
-        sending = client.send(
-            f"o{number:05d}",
-            "POST",
-            "shop.example",
-            f"/order/{number}",
-            deadline_ms=DEADLINE_MS,
-            body=b"{}",
-        )
-        sends.append(asyncio.ensure_future(sending))
-        next_s = started_s + len(sends) / ORDERS_PER_S
-        await asyncio.sleep(max(0, next_s - loop.time()))
-    return await asyncio.gather(*sends)
+class _Load:
+    """Requests at a steady rate, whether or not earlier ones were answered."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.sends = []
 
+    async def run(self, node, mark, method, path, per_s):
+        client = Client(self.fleet.record, node.entry)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        number = 0
+        while True:
+            number += 1
+            sending = client.send(
+                f"{mark}{number:05d}",
+                method,
+                "shop.example",
+                f"{path}{number}",
+                deadline_ms=DEADLINE_MS,
+                body=b"{}" if method == "POST" else b"",
+            )
+            self.sends.append(asyncio.ensure_future(sending))
+            await asyncio.sleep(max(0, started_s + number / per_s - loop.time()))
 
-def _judge(fleet, answers, leaving, confirmed_s):
+
+def _judge(fleet, answers, stop_s):
     counts = {}
     for answer in answers:
-        counts[answer.status] = counts.get(answer.status, 0) + 1
-    fleet.record.write(f"orders by status: {counts}")
-    if not counts.get(200):
+        key = (answer.attempt[0], answer.status)
+        counts[key] = counts.get(key, 0) + 1
+    fleet.record.write(f"answers by sender and status: {counts}")
+    if not counts.get(("o", 200)):
         raise CouldNotRunError("no order was served")
-    by_attempt = {answer.attempt: answer for answer in answers}
-    late = [
-        (attempt, at_s - confirmed_s)
-        for at_s, attempt, _ in leaving.arrivals
-        if at_s - confirmed_s > BOUNDS["drain_s"] + MARGIN_S
-    ]
-    lost = [a for a, _ in late if by_attempt[a].status != 200]
-    fleet.record.write(f"orders that came too late: {len(late)}, not served: {lost}")
-    return [
-        f"DRAIN {attempt} reached {leaving.target_id} {late_s:.2f} s after the store"
-        f" confirmed that it is draining; its client got {by_attempt[attempt].status}"
-        for attempt, late_s in late
-    ]
+    reached = {attempt for target in fleet.targets for _, attempt, _ in target.arrivals}
+    breaches = []
+    for answer in answers:
+        if answer.status or answer.attempt[0] != "x":
+            continue
+        waited_s = answer.ended_s - answer.sent_s
+        # A request that crossed the close wasn't read; one that a target works on at
+        # the end of the grace period is excused.
+        if waited_s <= BOUNDS["lost_s"] or answer.attempt in reached:
+            continue
+        if waited_s >= DEADLINE_MS / 1_000:
+            continue
+        breaches.append(
+            f"LOST {answer.attempt} was sent {answer.sent_s - stop_s:.2f} s after"
+            " SIGTERM, reached no target and lost its connection after"
+            f" {waited_s:.2f} s ({answer.error})"
+        )
+    return breaches
 
 
 play(__file__, play_case)
--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -403,6 +403,63 @@
         return Answer(attempt, status, fields, found, sent_s, ended_s, error)
 
 
+class KeptClient:
+    """Sends one request after the other on a connection that it keeps.
+
+    ``answers`` counts the statuses. ``closed_without_answer`` holds the ids of requests
+    that were sent whole and whose connection ended without a complete answer.
+    """
+
+    def __init__(self, record, address, name):
+        self.record = record
+        self.address = address
+        self.name = name
+        self.answers = {}
+        self.closed_without_answer = []
+
+    async def run(self, method, host, path, deadline_ms, body=b""):
+        """Send requests until cancelled; connect again after a failure."""
+        ip, _, port = self.address.rpartition(":")
+        number = 0
+        while True:
+            writer = None
+            try:
+                reader, writer = await asyncio.open_connection(ip, int(port))
+                while True:
+                    number += 1
+                    head = (
+                        f"{method} {path}{number} HTTP/1.1\r\nHost: {host}\r\n"
+                        f"Attempt-Id: {self.name}r{number}\r\n"
+                        f"Deadline-Ms: {deadline_ms}\r\n"
+                        f"Content-Length: {len(body)}\r\n\r\n"
+                    )
+                    await self._exchange(
+                        f"{self.name}r{number}", head.encode() + body, reader, writer
+                    )
+            except (OSError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.2)
+            finally:
+                if writer is not None:
+                    writer.close()
+
+    async def _exchange(self, attempt, data, reader, writer):
+        writer.write(data)
+        await writer.drain()
+        self.record.write(f"client sent {attempt} to {self.address}")
+        try:
+            first, fields = await read_head(reader)
+            await reader.readexactly(int(header(fields, "content-length") or 0))
+        except (OSError, asyncio.IncompleteReadError) as problem:
+            self.closed_without_answer.append(attempt)
+            self.record.write(f"client got {type(problem).__name__} for {attempt}")
+            raise
+        status = int(first.split(" ")[1])
+        self.answers[status] = self.answers.get(status, 0) + 1
+        self.record.write(f"client got {status} for {attempt}")
+        if (header(fields, "connection") or "").lower() == "close":
+            raise ConnectionResetError
+
+
 class Node:
     """One node process beside a target, started as the deploy file says."""
 
