--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -111,6 +111,7 @@
         self.history = []
         self.last_call_s = {}
         self._turned_away = set()
+        self._silent = set()
         self._writers = {}
         self._changed = asyncio.Event()
         self._servers = []
@@ -149,6 +150,11 @@
         for writer in list(self._writers.get(address, ())):
             writer.transport.abort()
 
+    def silence(self):
+        """Never answer again on the connections that are open now."""
+        for writers in self._writers.values():
+            self._silent.update(writers)
+
     def serve_again(self):
         """Serve calls at every address."""
         self._turned_away.clear()
@@ -176,6 +182,8 @@
                     return
                 self.last_call_s[address] = self.record.now_s()
                 status, document = await self._answer(path)
+                if writer in self._silent:
+                    await asyncio.Event().wait()
                 body = json.dumps(document).encode()
                 writer.write(
                     encode(status, [("Content-Type", "application/json")], body)
@@ -294,8 +302,7 @@
                     return
                 gone.cancel()
                 await asyncio.gather(gone, return_exceptions=True)
-                writer.write(work.result())
-                await writer.drain()
+                await self.reply(writer, work.result())
                 if self.leaving:
                     return
         except (OSError, asyncio.IncompleteReadError):
@@ -304,6 +311,11 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def reply(self, writer, answer):
+        """Write ``answer``."""
+        writer.write(answer)
+        await writer.drain()
+
     async def _answer(self, method, path, fields, body):
         attempt = header(fields, "attempt-id") or ""
         pin = header(fields, "pin-instance")
@@ -573,10 +585,19 @@
         self.targets = []
         self.nodes = []
 
-    async def add(self, service, *, slots, work_s, zone="zone-a", store_address=None):
+    async def add(
+        self,
+        service,
+        *,
+        slots,
+        work_s,
+        zone="zone-a",
+        store_address=None,
+        target_type=Target,
+    ):
         """Add a target and the node beside it, both not started."""
         number = len(self.targets) + 1
-        target = Target(
+        target = target_type(
             self.record,
             target_id=f"i-{number:04x}",
             service=service,
