--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,8 +14,8 @@
 WORK_S = 0.1
 # Two targets serve 160 requests a second. Orders take nearly all of that.
 ORDERS_PER_S = 152
-LOOKUPS_PER_S = 8
-LOOKUPS_AT_STOPPED_PER_S = 8
+LOOKUPS_PER_S = 4
+LOOKUPS_AT_STOPPED_PER_S = 16
 DEADLINE_MS = 5_000
 WARM_UP_S = 8.0
 # The platform sends a machine's clients elsewhere after two missed questions.
