--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -112,6 +112,7 @@
         self.last_call_s = {}
         self._turned_away = set()
         self._silent = set()
+        self._watch_ends_s = []
         self._writers = {}
         self._changed = asyncio.Event()
         self._servers = []
@@ -150,6 +151,11 @@
         for writer in list(self._writers.get(address, ())):
             writer.transport.abort()
 
+    def quiet_s(self):
+        """Return how long no waiting watch ends, if nothing changes."""
+        now_s = time.monotonic()
+        return min((end_s - now_s for end_s in self._watch_ends_s), default=0.0)
+
     def silence(self):
         """Never answer again on the connections that are open now."""
         for writers in self._writers.values():
@@ -215,6 +221,7 @@
         if target.path == "/kv-watch":
             after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1_000
             until_s = time.monotonic() + wait_s
+            self._watch_ends_s.append(until_s)
             while True:
                 events = [
                     item
@@ -223,6 +230,7 @@
                 ]
                 left_s = until_s - time.monotonic()
                 if events or left_s <= 0:
+                    self._watch_ends_s.remove(until_s)
                     return 200, {"events": events, "store_revision": self.revision}
                 changed = self._changed
                 try:
