Spread the ends of the watches that a reader keeps

Cause, from the nodes' logs: a silence is noticed when a wait ends. Only a change put the waits of the readers in order; readers that had started apart, and the two keys of one reader, could end together for good.

Each reader now ends the waits of its keys an equal part of the longest wait apart, counted from the key that a change ended last, which all readers of a zone see. So a silence is noticed within half a wait, 2.25 s on the platform, plus the timeout of a call, also by one reader alone.

--- a/src/jacinthshed/internal/bundle/read_key_state.py
+++ b/src/jacinthshed/internal/bundle/read_key_state.py
@@ -10,7 +10,8 @@
     ``settled_ms`` the time until which the node doesn't know its rank, and
     ``not_before_ms`` the earliest start of a call. ``watch_ms`` is the longest wait of
     the last call, and ``is_in_step`` whether the readers' calls end at the same time,
-    as they do when a change ends them.
+    as they do when a change ends them. ``staggered_ms`` is when the last call in step
+    started.
 
     ``is_unbroken`` says that the last call was answered, ``is_watch`` and
     ``is_substitute`` that it was a watch, or a read because the readers were quiet.
@@ -23,6 +24,7 @@
         self.answered_ms = -inf
         self.watch_ms = 0
         self.is_in_step = True
+        self.staggered_ms = -inf
         self.is_unbroken = False
         self.is_watch = False
         self.is_substitute = False
--- a/src/jacinthshed/internal/bundle/read_scheduler.py
+++ b/src/jacinthshed/internal/bundle/read_scheduler.py
@@ -14,6 +14,7 @@
 from .read_decision import ReadAction, ReadDecision
 from .read_key_state import KeyState
 from .reader_rank import ReaderRank
+from .watch_phase import MIN_WATCH_MS, spread_wait_ms
 
 # A starting node reads once, at a random time within this window.
 START_WINDOW_MS = 2_000.0
@@ -34,8 +35,6 @@
 SUBSTITUTE_BACKOFF_MS = 3_000.0
 # Largest number of hosts of a zone that read in place of its readers.
 MAX_SUBSTITUTES = 4
-# Shortest wait of a watch.
-MIN_WATCH_MS = 200
 # Largest deviation from the time between two calls, as a share of it.
 BATCH_JITTER = 0.4
 # A wait may end a little early by this node's clock. Counting it as cut short would
@@ -246,13 +245,17 @@
         """Return the longest wait of the next call.
 
         A watch on a connection that goes silent is given up when its wait is over. The
-        waits of the readers end one after the other, so that such a silence of all
-        connections is noticed within a part of a wait.
+        waits of the readers, and those of the keys of each, end one after the other, so
+        that such a silence of all connections is noticed within a part of a wait.
         """
         if action is not ReadAction.WATCH:
             return 0
         watch_ms = self._policy.watch_ms
-        if state.is_in_step:
+        if not state.is_in_step:
+            states = [*self._keys.values()]
+            watch_ms = spread_wait_ms(now_ms, watch_ms, states, states.index(state))
+        else:
+            state.staggered_ms = now_ms
             readers = self._readers_in_zone() * self._rank.zones
             place = min(self._rank.rank_in_fleet + 1, readers)
             watch_ms = watch_ms * place // readers
