Read keys of workspaces at the product's own interface

A bundle could name workspaces, but only the platform's adapter read keys, so that with the product's own headers each request was served without one. Callers now send Jacinthshed-Key; the entry node checks it, takes it off and sends the workspace's name in Jacinthshed-Workspace instead of whatever the caller sent under that name. Calls at the egress need none.

Workspaces and keys of a bundle are checked like its other parts. No problem shows a digest, as a mistyped entry may be the key itself.

Bundles without workspaces are served as before.

--- a/src/jacinthshed/internal/bundle/checks.py
+++ b/src/jacinthshed/internal/bundle/checks.py
@@ -14,6 +14,7 @@
 from .route_checks import check_routes
 from .service_checks import check_services
 from .shared_checks import NAME_EXPECTED, check_range, is_name
+from .workspace_checks import check_workspaces
 
 # The largest whole number that every JSON reader keeps exact.
 MAX_VERSION = 2**53 - 1
@@ -27,6 +28,7 @@
         check_routes(bundle),
         check_calls(bundle),
         check_policies(bundle),
+        check_workspaces(bundle),
     )
 
 
--- a/src/jacinthshed/internal/flow/call_reader.py
+++ b/src/jacinthshed/internal/flow/call_reader.py
@@ -22,6 +22,7 @@
 from ..http.message import Headers, Request, header
 from ..verdict import Reason, Refusal, Verdict
 from .call import Call
+from .call_access import EGRESS_CALLER, find_owner, in_workspace
 from .context import ParentContext
 from .policy import Policy
 
@@ -71,7 +72,7 @@
 def read_call(
     request: Request, arrival: Arrival, policy: Policy
 ) -> Result[ParsedCall, Refusal]:
-    """Match ``request`` to its route; check its body size, deadline and key."""
+    """Match ``request`` to its route; check its workspace, size, deadline and key."""
     host = header(request.headers, HOST_HEADER) or b""
     match = policy.routes.match(request.method, request.target, host)
     if match is None:
@@ -80,6 +81,15 @@
     undeclared_detail = _undeclared_call_detail(match, arrival.parent, policy)
     if undeclared_detail is not None:
         return _refuse(Reason.UNKNOWN_ROUTE, undeclared_detail)
+    found = find_owner(
+        request.headers,
+        policy,
+        match.route,
+        is_local=arrival.parent is not None or arrival.caller == EGRESS_CALLER,
+        policy_age_ms=arrival.policy_age_ms,
+    )
+    if isinstance(found, Failure):
+        return Failure(found.failure())
     if len(request.body) > policy.bundle.sizes.request_bytes:
         limit = policy.bundle.sizes.request_bytes
         return _refuse(
@@ -94,7 +104,11 @@
     strategy = _choose_call_strategy(request.headers, match, arrival, policy)
     if isinstance(strategy, Refused):
         return Failure(strategy.refusal)
-    return Success(_parsed_call(request, arrival, policy, match, deadline, strategy))
+    parsed = _parsed_call(request, arrival, policy, match, deadline, strategy)
+    owner = found.unwrap()
+    if owner is not None:
+        parsed = parsed._replace(call=in_workspace(parsed.call, owner, match.route))
+    return Success(parsed)
 
 
 def _parsed_call(
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -9,6 +9,7 @@
 from ..adapters.http_adapter import HttpAdapter
 from ..fence.strategy import FIRST_USE_FENCE
 from ..flow.call import Call
+from ..flow.call_access import EGRESS_CALLER
 from ..flow.call_reader import (
     CONTEXT_HEADER,
     FENCE_HEADER,
@@ -40,7 +41,6 @@
 from .observer import ExchangeObserver
 
 INTERIM_STATUS = 100
-EGRESS_CALLER = "egress"
 INTERIM_HEADER = b"jacinthshed-interim"
 REQUEST_ID_BITS = 64
 LEAVING_RETRY_AFTER_MS = 100
