Count what a node sends to other nodes, by type of frame and zone

What operators get: sent_frames and sent_bytes in the metrics page and in statsd, by type of frame and by whether the peer is in the node's own availability zone. Pieces of large bodies are counted as such.

Reason: traffic between zones was known only from outside, and not which frames cause it.

--- a/src/jacinthshed/internal/node/components.py
+++ b/src/jacinthshed/internal/node/components.py
@@ -206,6 +206,7 @@
         on_failed=failed,
         on_reached=state.failures.record_contact,
         memory=env.memory,
+        traffic=env.metrics.traffic,
     )
     local = LocalLink(hello=hello, on_frame=proxy.on_frame)
     links.add_local(local, state.record.host)
--- a/src/jacinthshed/internal/node/link.py
+++ b/src/jacinthshed/internal/node/link.py
@@ -11,6 +11,7 @@
 from ..membership.link_health import LinkHealth
 from ..memory.account import MemoryAccount
 from ..telemetry.log import get_logger
+from ..telemetry.traffic import LinkTraffic, Traffic
 from ..wire.codec import PROTOCOL_VERSION, FrameBuffer, FrameError, encode
 from ..wire.frames import Cancel, Frame, Heartbeat, Hello, Reply, Submit
 from ..wire.pieces import BodyDecision, BodyPiece, LargeBody
@@ -49,7 +50,8 @@
     """Owns one stream: its reader, its writer and the exchanges pending on it.
 
     Frames that are queued while the writer is busy are sent in one call. Large bodies
-    are charged to ``memory`` and sent in pieces between the other frames.
+    are charged to ``memory`` and sent in pieces between the other frames. All frames
+    are counted in ``traffic`` when they are queued.
 
     A link whose peer is ``silent`` takes no new requests. It stays open while it has
     exchanges in ``unrepeatable``: their requests may be running at the peer and must
@@ -65,6 +67,7 @@
         policy: MembershipPolicy,
         on_frame: FrameHandler,
         memory: MemoryAccount | None = None,
+        traffic: LinkTraffic | None = None,
     ) -> None:
         self.number = number
         self.peer: Hello | None = None
@@ -75,6 +78,7 @@
         self.closed = False
         self._stream = stream
         self._clock = clock
+        self._traffic = traffic or Traffic().new_link("")
         self._on_frame = on_frame
         self._outgoing = OutgoingBodies(is_wanted=self._is_wanted)
         self._incoming = IncomingBodies(
@@ -105,13 +109,13 @@
         if isinstance(frame, Submit):
             self.health.request_sent(now_ms)
         try:
-            data = encode(self._outgoing.announce(frame) if is_large(frame) else frame)
+            sent = self._outgoing.announce(frame) if is_large(frame) else frame
+            data = self._traffic.count(type(sent), encode(sent))
         except FrameError:
             # Only this exchange fails, at its deadline; the link stays open for others.
             log.exception("frame can't be sent", link=self.number)
             return
-        data = self._send_now(now_ms, data)
-        if not data:
+        if not (data := self._send_now(now_ms, data)):
             return
         self._outbox.append(data)
         self._outbox_bytes += len(data)
@@ -194,12 +198,9 @@
 
     async def flushed(self) -> None:
         """Wait until the queue is sent or the link is closed."""
-        while self._is_sending() and not self.closed:
+        while not self.closed and (self._outbox or self._writing or self._outgoing):
             await trio.sleep(0.01)
 
-    def _is_sending(self) -> bool:
-        return bool(self._outbox or self._writing or len(self._outgoing))
-
     def _is_wanted(self, frame: Frame) -> bool:
         return isinstance(frame, Reply) or (
             isinstance(frame, Submit) and frame.request_id in self.exchanges
@@ -225,6 +226,7 @@
                     "the first frame must be a hello of this node's protocol version"
                 )
             self.peer = frame
+            self._traffic.peer_known(frame.record.host, frame.record.availability_zone)
             self._on_frame(self, frame)
             opened.set(frame)
         elif isinstance(frame, Heartbeat):
@@ -240,8 +242,7 @@
             self._outgoing.decided(frame)
             self._wake.set()
         elif isinstance(frame, BodyPiece):
-            whole = self._incoming.add(frame)
-            if whole is not None:
+            if (whole := self._incoming.add(frame)) is not None:
                 self._on_frame(self, whole)
         else:
             refusal = self._incoming.begin(frame)
@@ -265,7 +266,7 @@
     def _take_data(self) -> bytes:
         """Return the queued frames, or else the next piece of a large body."""
         if not self._outbox:
-            return self._outgoing.next_piece()
+            return self._traffic.count(BodyPiece, self._outgoing.next_piece())
         data = b"".join(self._outbox)
         self._outbox.clear()
         self._outbox_bytes = 0
@@ -280,8 +281,7 @@
 
 def finish_exchange(channel: Channel, request_id: str, frame: Frame) -> bool:
     """End the exchange that waits for ``frame``; return whether there was one."""
-    exchange = _pop_exchange(channel, request_id)
-    if exchange is None:
+    if (exchange := _pop_exchange(channel, request_id)) is None:
         return False
     exchange.set(frame)
     return True
--- a/src/jacinthshed/internal/node/links.py
+++ b/src/jacinthshed/internal/node/links.py
@@ -9,6 +9,7 @@
 from ..http.network import Connect
 from ..memory.account import MemoryAccount
 from ..telemetry.log import get_logger
+from ..telemetry.traffic import Traffic
 from ..wire.frames import Frame, Hello, Withdraw
 from .clock import Clock
 from .link import Channel, FrameHandler, Link
@@ -26,7 +27,7 @@
     ``address_of`` returns the peer address of a host, or ``None``. ``on_closed`` is
     called with the number of each closed link, ``on_reached`` and ``on_failed`` with
     the host to which a link was opened or could not be opened. Large bodies are charged
-    to ``memory``.
+    to ``memory``, and what is sent to peers is counted in ``traffic``.
     """
 
     def __init__(
@@ -42,8 +43,10 @@
         on_failed: Callable[[str], None],
         on_reached: Callable[[str], None],
         memory: MemoryAccount,
+        traffic: Traffic,
     ) -> None:
         self._memory = memory
+        self._traffic = traffic
         self._connect = connect
         self._clock = clock
         self._policy = policy
@@ -179,6 +182,7 @@
             policy=self._policy(),
             on_frame=self._on_frame,
             memory=self._memory,
+            traffic=self._traffic.new_link(self._hello().record.availability_zone),
         )
 
     async def _run(self, link: Link, opened: OneShot[Hello | None]) -> None:
--- a/src/jacinthshed/internal/telemetry/exposition.py
+++ b/src/jacinthshed/internal/telemetry/exposition.py
@@ -31,6 +31,7 @@
             event, _, value = name.partition(".")
             decisions.add_metric((event, value), count)
         yield decisions
+        yield from self._traffic()
         times = HistogramMetricFamily(
             PREFIX + "elapsed_ms", "Times in milliseconds.", labels=("event",)
         )
@@ -42,6 +43,20 @@
             metric = PREFIX + name.replace(".", "_")
             yield GaugeMetricFamily(metric, "A figure of this moment.", gauge_value)
 
+    def _traffic(self) -> Iterator[Metric]:
+        labels = ("frame", "zone")
+        frames = CounterMetricFamily(
+            PREFIX + "sent_frames", "Frames sent to other nodes.", labels=labels
+        )
+        payload = CounterMetricFamily(
+            PREFIX + "sent_bytes", "Bytes of frames sent to other nodes.", labels=labels
+        )
+        for sent in self._metrics.traffic.sent():
+            frames.add_metric((sent.frame, sent.zone), sent.frames)
+            payload.add_metric((sent.frame, sent.zone), sent.payload_bytes)
+        yield frames
+        yield payload
+
 
 def metrics_page(metrics: Metrics, gauges: Mapping[str, float]) -> bytes:
     """Return the body of the response to a Prometheus scrape."""
--- a/src/jacinthshed/internal/telemetry/metrics.py
+++ b/src/jacinthshed/internal/telemetry/metrics.py
@@ -7,6 +7,7 @@
 import trio
 
 from .histogram import Histogram
+from .traffic import Traffic
 
 FLUSH_INTERVAL_S = 1.0
 MAX_TIMINGS = 256
@@ -34,14 +35,15 @@
 class Metrics:
     """Counters, timers and gauges of one process.
 
-    ``totals`` and ``histograms`` count since the process started; a flush sends what
-    was added since the previous flush. Each method costs a few dictionary updates. A
-    flush sends at most the last ``MAX_TIMINGS`` values of each timer.
+    ``totals``, ``histograms`` and ``traffic`` count since the process started; a flush
+    sends what was added since the previous flush. Each method costs a few dictionary
+    updates. A flush sends at most the last ``MAX_TIMINGS`` values of each timer.
     """
 
     def __init__(self) -> None:
         self.totals: Counter[str] = Counter()
         self.histograms: dict[str, Histogram] = {}
+        self.traffic = Traffic()
         self._sent: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
         self._timings: dict[str, list[float]] = {}
@@ -73,14 +75,15 @@
 
         Gauges keep their value and are sent with every flush.
         """
-        for name, count in (self.totals - self._sent).items():
+        totals = self.totals + Counter(self.traffic.totals())
+        for name, count in (totals - self._sent).items():
             pipeline.incr(name, count)
         for name, value in self._gauges.items():
             pipeline.gauge(name, value)
         for name, values in self._timings.items():
             for elapsed_ms in values:
                 pipeline.timing(name, elapsed_ms)
-        self._sent = self.totals.copy()
+        self._sent = totals
         self._timings.clear()
         self._timing_counts.clear()
         pipeline.send()
--- a/tests/common/fleet_host.py
+++ b/tests/common/fleet_host.py
@@ -19,6 +19,7 @@
 from jacinthshed.internal.standin.backend import egress_calls, serve_backend
 from jacinthshed.internal.standin.backend_options import BackendOptions
 from jacinthshed.internal.standin.backend_state import BackendState
+from jacinthshed.internal.telemetry.metrics import Metrics
 from tests.common.fleet_keys import OPERATORS, virtual_wall_ms
 
 
@@ -40,7 +41,8 @@
 class Host:
     """One host: its backend server and its node.
 
-    ``decisions`` holds the decision lines of the node since its last start.
+    ``decisions`` holds the decision lines of the node since its last start, and
+    ``metrics`` its counts.
     """
 
     def __init__(self, fleet, number, host, service, zone):
@@ -52,6 +54,7 @@
         self.wall_offset_ms = 0
         self.mono_offset_ms = 0
         self.decisions = []
+        self.metrics = Metrics()
         self.node = None
         self.node_ended = None
         self.is_starting = False
@@ -129,6 +132,7 @@
     async def start_node(self, seeds=()):
         """Start the node; return when it serves."""
         self.decisions.clear()
+        self.metrics = Metrics()
         settings = self.settings(seeds)
         self.node = Node(
             settings=settings,
@@ -136,6 +140,7 @@
             network=self.fleet.network_of(self),
             random=random.Random(f"{self.host}{trio.current_time()}"),
             log=self.log,
+            metrics=self.metrics,
             clock=Clock(
                 lambda: trio_now_ms() + self.mono_offset_ms,
                 lambda: virtual_wall_ms() + self.wall_offset_ms,
