Let a policy keep most gossip in the sender's availability zone

What operators get: membership.neighbours in the bundle. With own-zone, a node has three gossip neighbours in its own zone and one in another, fills up from the other side where one has too few reachable members, and leaves its zone in every fourth round only. The default, any, is unchanged.

--- a/src/jacinthshed/internal/bundle/model.py
+++ b/src/jacinthshed/internal/bundle/model.py
@@ -118,14 +118,15 @@
 
 
 class MembershipPolicy(_Section, frozen=True, kw_only=True):
-    """Intervals and timeouts of gossip and of links between nodes, in milliseconds.
+    """Gossip and links between nodes; intervals and timeouts are in milliseconds.
 
     While a link awaits a frame, its peer gets a heartbeat every ``heartbeat_ms``; an
     idle link gets far fewer. The link counts as silent when no frame arrives for
     ``silent_after_ms``. A peer that is leaving or no longer listed is declared gone
     after it was unreachable for ``unreachable_after_ms``. When a node's process did not
     run for ``pause_after_ms``, the node counts this as a pause, after which its view of
-    the members is unconfirmed until a peer has answered.
+    the members is unconfirmed until a peer has answered. With ``neighbours`` set to
+    ``own-zone``, most gossip stays in the availability zone of its sender.
     """
 
     gossip_interval_ms: int = 1_000
@@ -133,6 +134,7 @@
     silent_after_ms: int = 1_500
     unreachable_after_ms: int = 5_000
     pause_after_ms: int = 1_000
+    neighbours: Literal["any", "own-zone"] = "any"
 
 
 class DrainPolicy(_Section, frozen=True, kw_only=True):
--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -92,7 +92,11 @@
         self._directory_revision = directory_revision
         self._freshness = freshness
         self._peers = PeerSelector(
-            view=view, random=random, linked=linked, is_reachable=is_reachable
+            view=view,
+            random=random,
+            linked=linked,
+            is_reachable=is_reachable,
+            prefers_own_zone=_prefers_own_zone(policy),
         )
         self._rumors = Rumors()
         self._reconciliation = Reconciliation(settle_ms=policy.gossip_interval_ms)
@@ -106,8 +110,9 @@
         self._rumors.add([view.self_record])
 
     def set_policy(self, policy: MembershipPolicy) -> None:
-        """Use the intervals of ``policy`` from now on."""
+        """Use the intervals and the kind of neighbours of ``policy`` from now on."""
         self._policy = policy
+        self._peers.set_prefers_own_zone(_prefers_own_zone(policy))
         self._reconciliation.settle_ms = policy.gossip_interval_ms
 
     def tick(self, now_ms: float) -> Outbox:
@@ -263,6 +268,10 @@
         )
 
 
+def _prefers_own_zone(policy: MembershipPolicy) -> bool:
+    return policy.neighbours == "own-zone"
+
+
 def _identities(suspects: Suspects) -> frozenset[tuple[int, str, str]]:
     """Return the suspects without their ages, which differ at every call."""
     return frozenset(
--- a/src/jacinthshed/internal/membership/peers.py
+++ b/src/jacinthshed/internal/membership/peers.py
@@ -16,6 +16,9 @@
 
     ``linked`` returns the hosts to which a link is open that has delivered a frame
     lately, ``is_reachable`` whether a host is reachable as far as this node knows.
+
+    With ``prefers_own_zone``, hosts in other availability zones are peers only as
+    neighbours, and in the rounds with any member.
     """
 
     def __init__(
@@ -25,15 +28,23 @@
         random: Random,
         linked: Callable[[], Sequence[str]],
         is_reachable: Callable[[str], bool],
+        prefers_own_zone: bool = False,
     ) -> None:
         self._view = view
         self._random = random
         self._linked = linked
         self._is_reachable = is_reachable
+        self._prefers_own_zone = prefers_own_zone
         self._round = 0
         self._neighbours: tuple[str, ...] = ()
         self._neighbours_version = -1
 
+    def set_prefers_own_zone(self, prefers_own_zone: bool) -> None:
+        """Choose the neighbours again if the preference has changed."""
+        if prefers_own_zone != self._prefers_own_zone:
+            self._prefers_own_zone = prefers_own_zone
+            self._neighbours_version = -1
+
     def neighbours(self) -> tuple[str, ...]:
         """Return the long-lived neighbours."""
         is_stale = self._neighbours_version != self._view.version
@@ -41,7 +52,10 @@
             self._neighbours_version = self._view.version
             own_host = self._view.self_record.host
             self._neighbours = choose_neighbours(
-                own_host, self._view.hosts(), self._is_reachable
+                own_host,
+                self._view.hosts(),
+                self._is_reachable,
+                is_in_own_zone=self._is_in_own_zone if self._prefers_own_zone else None,
             )
         return self._neighbours
 
@@ -49,7 +63,7 @@
         """Return the peer of the next round, or None when no other host is known."""
         self._round += 1
         if self._round % ANY_MEMBER_INTERVAL_ROUNDS:
-            sampled = self.sample_peers(1)
+            sampled = self._sample(self._round_candidates(), 1)
             if sampled:
                 return sampled[0]
         known_hosts = self._view.hosts()
@@ -61,7 +75,24 @@
 
     def sample_peers(self, count: int, exclude: str = "") -> list[str]:
         """Return up to ``count`` distinct peers among neighbours and linked hosts."""
-        candidates = set(self.neighbours())
-        candidates.update(host for host in self._linked() if self._is_reachable(host))
-        candidates -= {exclude, self._view.self_record.host}
+        return self._sample(self._candidates() - {exclude}, count)
+
+    def _candidates(self) -> set[str]:
+        linked = {host for host in self._linked() if self._is_reachable(host)}
+        if self._prefers_own_zone:
+            linked = set(filter(self._is_in_own_zone, linked))
+        return (linked | {*self.neighbours()}) - {self._view.self_record.host}
+
+    def _round_candidates(self) -> set[str]:
+        candidates = self._candidates()
+        if not self._prefers_own_zone:
+            return candidates
+        return set(filter(self._is_in_own_zone, candidates)) or candidates
+
+    def _sample(self, candidates: set[str], count: int) -> list[str]:
         return self._random.sample(sorted(candidates), min(count, len(candidates)))
+
+    def _is_in_own_zone(self, host: str) -> bool:
+        record = self._view.get(host)
+        own_zone = self._view.self_record.availability_zone
+        return record is not None and record.availability_zone == own_zone
