--- a/benchmarks/gossip_fleet.py
+++ b/benchmarks/gossip_fleet.py
@@ -11,6 +11,8 @@
 from random import Random
 from time import process_time
 
+import msgspec
+
 from jacinthshed.internal.bundle.model import MembershipPolicy
 from jacinthshed.internal.bundle.order import NO_BUNDLE, BundleOrder
 from jacinthshed.internal.membership.gossip import Gossiper
@@ -40,17 +42,27 @@
 SERVICE_LINKS = 10
 # Shortest interval between requests for a newer bundle, as in a node.
 BUNDLE_REQUEST_INTERVAL_MS = 300.0
+DEFAULT_GOSSIP_INTERVAL_MS = MembershipPolicy().gossip_interval_ms
+
 
+def fleet_record(
+    number: int,
+    incarnation: int = 1_790_000_000_000,
+    zones: Sequence[str] = ZONES,
+) -> MemberRecord:
+    """Return the record of one host, with fields of realistic length.
 
-def fleet_record(number: int, incarnation: int = 1_790_000_000_000) -> MemberRecord:
-    """Return the record of one host, with fields of realistic length."""
+    Hosts of one service are spread over the zones; zones that aren't the default ones
+    have equal numbers of hosts also in a small fleet.
+    """
+    place = number // SERVICES if zones is ZONES else number
     return MemberRecord(
         host=f"host-{number:04d}.example",
         incarnation=incarnation,
         state="live",
         revision=0,
         service=f"service-{number % SERVICES:02d}",
-        availability_zone=ZONES[number // SERVICES % len(ZONES)],
+        availability_zone=zones[place % len(zones)],
         peer_address=f"10.20.{number // 250}.{number % 250}:7400",
         started_ms=incarnation,
     )
@@ -59,14 +71,19 @@
 class Member:
     """One node: its view, its gossiper and the bundle in force."""
 
-    def __init__(self, record: MemberRecord, linked: Callable[[], list[str]]) -> None:
+    def __init__(
+        self,
+        record: MemberRecord,
+        linked: Callable[[], list[str]],
+        policy: MembershipPolicy,
+    ) -> None:
         self.view = View(self_record=record)
         self.order = NO_BUNDLE
         self.document = b""
         self.requested_ms = float("-inf")
         self.gossiper = Gossiper(
             view=self.view,
-            policy=MembershipPolicy(),
+            policy=policy,
             random=Random(f"{record.host} {record.incarnation}"),
             bundle_order=lambda: self.order,
             linked=linked,
@@ -77,35 +94,61 @@
     """Members by host, and the frames in flight by time of arrival.
 
     ``loss`` is the share of frames that are lost. ``cpu_s`` is the processor time of
-    all members together; ``sent_bytes`` and ``sent_frames`` count what they have sent.
+    all members together; ``sent_bytes`` and ``sent_frames`` count what they have sent,
+    ``other_zone_bytes`` and ``other_zone_frames`` the part of it between ``zones``.
+    ``neighbours`` is the field of the policy.
     """
 
-    def __init__(self, size: int, *, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        size: int,
+        *,
+        loss: float = 0.0,
+        zones: Sequence[str] = ZONES,
+        neighbours: str = "any",
+    ) -> None:
         self.now_ms = 0.0
         self.loss = loss
         self.cpu_s = 0.0
         self.sent_bytes = 0
         self.sent_frames = 0
+        self.other_zone_bytes = 0
+        self.other_zone_frames = 0
+        self._policy = msgspec.convert({"neighbours": neighbours}, MembershipPolicy)
         self._random = Random(size)
         self._arrivals: list[tuple[float, int, str, str, bytes]] = []
         self._frame_number = 0
-        records = [fleet_record(number) for number in range(size)]
-        hosts = [record.host for record in records]
-        self._linked: dict[str, list[str]] = {host: [] for host in hosts}
-        for host in hosts:
-            for other in choose_neighbours(host, hosts, lambda _: True):
+        records = [fleet_record(number, zones=zones) for number in range(size)]
+        self.zone_of = {record.host: record.availability_zone for record in records}
+        self._linked: dict[str, list[str]] = {host: [] for host in self.zone_of}
+        for host in self.zone_of:
+            for other in self._neighbours(host):
                 self._linked[other].append(host)
-        self._add_service_links(records)
+        self._add_service_links(records, zones)
         self.members = {record.host: self._member(record) for record in records}
         for member in self.members.values():
             member.view.merge(0.0, records)
 
     def _member(self, record: MemberRecord) -> Member:
-        return Member(record, lambda: self._linked[record.host])
+        return Member(record, lambda: self._linked[record.host], self._policy)
+
+    def _neighbours(self, host: str) -> tuple[str, ...]:
+        def is_in_own_zone(other: str) -> bool:
+            return self.zone_of[other] == self.zone_of[host]
+
+        prefers_own_zone = self._policy.neighbours == "own-zone"
+        return choose_neighbours(
+            host,
+            self.zone_of,
+            lambda _: True,
+            is_in_own_zone=is_in_own_zone if prefers_own_zone else None,
+        )
 
-    def _add_service_links(self, records: list[MemberRecord]) -> None:
+    def _add_service_links(
+        self, records: list[MemberRecord], zones: Sequence[str]
+    ) -> None:
         """Add links for calls within each zone; few real calls leave their zone."""
-        for zone in ZONES:
+        for zone in zones:
             hosts = [r.host for r in records if r.availability_zone == zone]
             for host in hosts:
                 count = min(SERVICE_LINKS, len(hosts))
@@ -139,6 +182,9 @@
                 payload = payloads[id(frame)] = encode(frame)
             self.sent_bytes += len(payload)
             self.sent_frames += 1
+            if self.zone_of[sender] != self.zone_of[target]:
+                self.other_zone_bytes += len(payload)
+                self.other_zone_frames += 1
             if target in self.members and self._random.random() >= self.loss:
                 self._frame_number += 1
                 at_ms = self.now_ms + self._delay_ms(sender, target)
--- a/tests/common/members.py
+++ b/tests/common/members.py
@@ -12,6 +12,7 @@
 SERVICE = "ledger"
 ZONES = ("colombo-a", "colombo-b", "gampaha")
 TICK_MS = 100.0
+POLICY = MembershipPolicy()
 
 
 def member(host, incarnation=1, state="live", revision=0, **changes):
@@ -49,12 +50,12 @@
 class Node:
     """A node's view and gossiper; ``order`` is the order of its bundle."""
 
-    def __init__(self, record, seed, order=NO_BUNDLE, linked=tuple):
+    def __init__(self, record, seed, order=NO_BUNDLE, linked=tuple, policy=POLICY):
         self.view = View(self_record=record)
         self.order = order
         self.gossiper = Gossiper(
             view=self.view,
-            policy=MembershipPolicy(),
+            policy=policy,
             random=Random(f"{seed} {record.host} {record.incarnation}"),
             bundle_order=lambda: self.order,
             linked=linked,
@@ -79,8 +80,9 @@
 class Fleet:
     """Nodes by host, and the frames in transit between them."""
 
-    def __init__(self, records, seed=0):
+    def __init__(self, records, seed=0, policy=POLICY):
         self.now_ms = 0.0
+        self.policy = policy
         self.seed = seed
         self.random = Random(seed)
         self.listed = [listed(record) for record in records]
@@ -93,7 +95,8 @@
 
     def start(self, record):
         """Start a node that has only the platform's list."""
-        node = self.nodes[record.host] = Node(record, self.seed)
+        node = Node(record, self.seed, policy=self.policy)
+        self.nodes[record.host] = node
         node.view.apply_host_list(self.now_ms, self.listed)
 
     def post(self, sender, outbox):
--- a/tests/cover/test_gossip_machine.py
+++ b/tests/cover/test_gossip_machine.py
@@ -3,6 +3,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from jacinthshed.internal.bundle.model import MembershipPolicy
 from jacinthshed.internal.wire.frames import Leaving
 
 from ..common.members import Fleet, fleet_records, listed
@@ -20,9 +21,11 @@
     departure was announced to the node.
     """
 
+    policy = MembershipPolicy()
+
     def __init__(self):
         super().__init__()
-        self.fleet = Fleet(fleet_records(HOSTS))
+        self.fleet = Fleet(fleet_records(HOSTS), policy=self.policy)
         self.known_departures = {host: {} for host in self.fleet.nodes}
         self.stale_lists = [self.fleet.listed]
         self.incarnation = 1
@@ -150,5 +153,16 @@
         assert len(self.fleet.digests()) == 1
 
 
+class OwnZoneGossipMachine(GossipMachine):
+    """The same with neighbours in the own zone, in zones of one and two nodes.
+
+    Guards against changes that never reach another zone.
+    """
+
+    policy = MembershipPolicy(neighbours="own-zone")
+
+
 TestGossipMachine = GossipMachine.TestCase
 TestGossipMachine.settings = settings(max_examples=100, stateful_step_count=50)
+TestOwnZoneGossipMachine = OwnZoneGossipMachine.TestCase
+TestOwnZoneGossipMachine.settings = TestGossipMachine.settings
