Export a gauge of the load spread of each service

Operators see how evenly the targets of a service are used: routing.load_spread is the highest load over the mean of the targets, as the node knows them. Loads are those of the choice of a target. Loads that the choice only assumes are left out, as half load beside 0.1 would look like an uneven service.

The service is a label on the metrics page and the end of the name in statsd. Gauges of services without targets are no longer sent. The store lists services with any name, and the statsd client raises UnicodeEncodeError for one that is not ASCII, which would end the node; such characters are replaced.

--- a/src/jacinthshed/internal/node/node.py
+++ b/src/jacinthshed/internal/node/node.py
@@ -81,9 +81,10 @@
         if self._components is None:
             return {}
         components = self._components
-        age_ms = self._reader.answer_age_ms(self._clock.now_ms())
-        in_flight = components.gateway.in_flight
-        gauges = node_gauges(components.state, components.holder, in_flight, age_ms)
+        now_ms, in_flight = self._clock.now_ms(), components.gateway.in_flight
+        age_ms = self._reader.answer_age_ms(now_ms)
+        state, holder = components.state, components.holder
+        gauges = node_gauges(state, holder, now_ms, in_flight, age_ms)
         return gauges | memory_gauges(self._memory)
 
     def leave(self) -> None:
--- a/src/jacinthshed/internal/node/status.py
+++ b/src/jacinthshed/internal/node/status.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..discovery.source_revision import from_ordinal
+from ..routing.load_spread import load_spreads
 from ..routing.status import routing_status
 from .policy_holder import PolicyHolder
 from .state import NodeState
@@ -37,11 +38,7 @@
             service: [member.host for member in state.view.members(service)]
             for service in state.view.services()
         },
-        "admission": {
-            "limit": state.admission.limit,
-            "running": state.admission.in_flight,
-            "waiting": state.admission.waiting,
-        },
+        "admission": _admission_section(state),
         "calls_in_flight": in_flight,
         "fences": state.fence_registry.sizes,
         "suspects": len(state.suspects),
@@ -50,6 +47,14 @@
     return msgspec.json.encode(document)
 
 
+def _admission_section(state: NodeState) -> dict[str, Any]:
+    return {
+        "limit": state.admission.limit,
+        "running": state.admission.in_flight,
+        "waiting": state.admission.waiting,
+    }
+
+
 def _bundle_section(
     state: NodeState, holder: PolicyHolder, now_ms: float
 ) -> dict[str, Any]:
@@ -67,6 +72,7 @@
 def node_gauges(
     state: NodeState,
     holder: PolicyHolder,
+    now_ms: float,
     in_flight: int,
     platform_age_ms: float | None,
 ) -> dict[str, float]:
@@ -74,6 +80,7 @@
 
     ``platform_age_ms`` is the age of the platform's last answer to any node, if known.
     """
+    spreads = load_spreads(state.picker, now_ms)
     return {
         "admission.limit": state.admission.limit,
         "admission.running": state.admission.in_flight,
@@ -84,4 +91,8 @@
         "platform.answer_age_ms": -1 if platform_age_ms is None else platform_age_ms,
         "directory.revision": from_ordinal(state.directory.revision).revision,
         "directory.targets": len(state.directory.entries()),
+        **{
+            f"routing.load_spread.{service}": round(spread, 3)
+            for service, spread in spreads.items()
+        },
     }
--- a/src/jacinthshed/internal/routing/preview.py
+++ b/src/jacinthshed/internal/routing/preview.py
@@ -84,7 +84,7 @@
         return None
     by_room = picker.uses_expected_room(service)
     weigh: Weigh = room_chances if by_room else pair_weights
-    loads = _believed_loads(pools, now_ms, by_room)
+    loads = believed_loads(pools, now_ms, by_room)
     outcomes: dict[Pick, float] | None = None
     if max(len(pool.targets) for pool in pools) <= MAX_POOL_TARGETS:
         local = weigh(pools.local, now_ms, exclude)
@@ -133,7 +133,7 @@
     return [(target, weight / total) for target, weight in weights.items()]
 
 
-def _believed_loads(pools: Pools, now_ms: float, by_room: bool) -> dict[Target, float]:
+def believed_loads(pools: Pools, now_ms: float, by_room: bool) -> dict[Target, float]:
     """Return the loads that the choice is based on."""
     loads: dict[Target, float] = {}
     for pool in pools:
--- a/src/jacinthshed/internal/telemetry/exposition.py
+++ b/src/jacinthshed/internal/telemetry/exposition.py
@@ -14,6 +14,9 @@
 from .metrics import Metrics
 
 PREFIX = "jacinthshed_"
+# Gauges of which there is one for each value of a label. The value ends their name.
+LABELED_GAUGES = {"routing.load_spread": "service"}
+_GAUGE_TEXT = "A figure of this moment."
 
 
 class _NodeCollector(Collector):
@@ -38,9 +41,27 @@
             event = name.partition(".")[0]
             times.add_metric((event,), histogram.cumulative(), histogram.sum_ms)
         yield times
-        for name, gauge_value in self._gauges.items():
-            metric = PREFIX + name.replace(".", "_")
-            yield GaugeMetricFamily(metric, "A figure of this moment.", gauge_value)
+        yield from _gauge_families(self._gauges)
+
+
+def _gauge_families(gauges: Mapping[str, float]) -> Iterator[GaugeMetricFamily]:
+    labeled: dict[str, GaugeMetricFamily] = {}
+    for name, value in gauges.items():
+        stem = next((s for s in LABELED_GAUGES if name.startswith(f"{s}.")), None)
+        if stem is None:
+            yield GaugeMetricFamily(_metric_name(name), _GAUGE_TEXT, value)
+            continue
+        family = labeled.get(stem)
+        if family is None:
+            labels = (LABELED_GAUGES[stem],)
+            family = GaugeMetricFamily(_metric_name(stem), _GAUGE_TEXT, labels=labels)
+            labeled[stem] = family
+        family.add_metric((name.removeprefix(f"{stem}."),), value)
+    yield from labeled.values()
+
+
+def _metric_name(name: str) -> str:
+    return PREFIX + name.replace(".", "_")
 
 
 def metrics_page(metrics: Metrics, gauges: Mapping[str, float]) -> bytes:
--- a/src/jacinthshed/internal/telemetry/metrics.py
+++ b/src/jacinthshed/internal/telemetry/metrics.py
@@ -1,5 +1,6 @@
 """Counters, timers and gauges of a process, and their export to statsd."""
 
+import re
 from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Protocol
@@ -12,6 +13,10 @@
 MAX_TIMINGS = 256
 MAX_PACKET_BYTES = 1_400
 
+# The store lists services with any name. Some characters separate the parts of a line
+# to statsd, and its client raises an error for those that aren't ASCII.
+_NOT_IN_NAMES = re.compile(r"[^A-Za-z0-9_.-]")
+
 ReadGauges = Callable[[], Mapping[str, float]]
 
 
@@ -55,6 +60,10 @@
         """Set the gauge ``name``."""
         self._gauges[name] = value
 
+    def replace_gauges(self, gauges: Mapping[str, float]) -> None:
+        """Set ``gauges``, and no longer send others, as those of a removed service."""
+        self._gauges = dict(gauges)
+
     def timing(self, name: str, elapsed_ms: float) -> None:
         """Add a duration in milliseconds to the timer ``name``."""
         histogram = self.histograms.get(name)
@@ -76,7 +85,7 @@
         for name, count in (self.totals - self._sent).items():
             pipeline.incr(name, count)
         for name, value in self._gauges.items():
-            pipeline.gauge(name, value)
+            pipeline.gauge(_NOT_IN_NAMES.sub("_", name), value)
         for name, values in self._timings.items():
             for elapsed_ms in values:
                 pipeline.timing(name, elapsed_ms)
@@ -112,8 +121,7 @@
     try:
         while True:
             await trio.sleep(FLUSH_INTERVAL_S)
-            for name, value in read_gauges().items():
-                metrics.gauge(name, value)
+            metrics.replace_gauges(read_gauges())
             metrics.flush(client.pipeline())
     finally:
         metrics.flush(client.pipeline())
--- a/tests/common/pickers.py
+++ b/tests/common/pickers.py
@@ -49,3 +49,28 @@
         for target in pool.targets
     }
     return picker._random.getstate(), targets
+
+
+def loaded_picker(local, spill=(), *, age_ms=0.0, by_room=False):
+    """Return a picker whose targets replied with these loads ``age_ms`` ago.
+
+    ``local`` are those in the node's own zone. None stands for a target that never
+    replied.
+    """
+    choice = "expected-room" if by_room else RoutingPolicy().choice
+    picker = Picker(
+        host="host-self",
+        availability_zone=ZONES[0],
+        policy=RoutingPolicy(choice=choice),
+        random=Random(1),
+    )
+    placed = [(load, ZONES[0]) for load in local] + [(load, ZONES[1]) for load in spill]
+    records = [
+        member(f"host-{number}", availability_zone=zone)
+        for number, (_, zone) in enumerate(placed)
+    ]
+    picker.set_members(0.0, SERVICE, records)
+    for record, (load, _) in zip(records, placed, strict=True):
+        if load is not None:
+            picker.record_reply(PICKER_NOW_MS - age_ms, record.host, load)
+    return picker
