Show the shares of workspaces in the status of a node

Operators could not see how much of a workspace a node admits, nor by which policy age keys are refused. The status has a section of at most 32 workspaces, the most limited first, with the share that the home told, its age, whether the node is on its own, and the home; bundle has policy_age_ms. jacinthshed status prints them. Both are left out where the policy has no workspaces, and contain no key and no digest. Reading the status changes no account and moves no home.

--- a/src/jacinthshed/internal/cli/status_command.py
+++ b/src/jacinthshed/internal/cli/status_command.py
@@ -51,7 +51,8 @@
         f"service       {document['service'] or 'none: entry only'}",
         f"state         {document['state']}, "
         f"{'serving' if document['serving'] else 'not serving: no bundle yet'}",
-        f"bundle        version {bundle['version']}, {bundle['digest'][:12]}",
+        f"bundle        version {bundle['version']}, {bundle['digest'][:12]}"
+        f"{_policy_age_text(bundle)}",
         f"admission     {admission['running']} running, {admission['waiting']} "
         f"waiting, limit {admission['limit']}",
         f"calls         {document['calls_in_flight']} in flight",
@@ -64,4 +65,23 @@
     ]
     for service, hosts in sorted(document["members"].items()):
         lines.append(f"members       {service or 'entry only'}: {', '.join(hosts)}")
-    return lines
+    return lines + [_workspace_line(w) for w in document.get("workspaces", ())]
+
+
+def _policy_age_text(bundle: dict[str, Any]) -> str:
+    age_ms = bundle.get("policy_age_ms")
+    return "" if age_ms is None else f", known to be the newest {age_ms} ms ago"
+
+
+def _workspace_line(workspace: dict[str, Any]) -> str:
+    told_ago_ms = workspace["told_ago_ms"]
+    share = f"{workspace['admitted_permille'] / 10:.1f}% admitted"
+    told = (
+        "home told nothing yet" if told_ago_ms is None else f"told {told_ago_ms} ms ago"
+    )
+    if workspace["is_on_its_own"]:
+        # The share that was told is not applied then.
+        told = f"on its own, no answer of the home; last {share}, {told}"
+    else:
+        told = f"{share}, {told}"
+    return f"workspace     {workspace['workspace']}: {told}, home {workspace['home']}"
--- a/src/jacinthshed/internal/node/components.py
+++ b/src/jacinthshed/internal/node/components.py
@@ -162,6 +162,7 @@
             unusable_hosts=hosts_without_id(
                 state, requires_target_id=env.publication.lists_targets
             ),
+            usage=parts.usage,
         ),
         directory=state.directory,
         freshness=state.freshness,
--- a/src/jacinthshed/internal/node/status.py
+++ b/src/jacinthshed/internal/node/status.py
@@ -8,6 +8,7 @@
 from ..discovery.source_revision import from_ordinal
 from ..routing.load_spread import load_spreads
 from ..routing.status import routing_status
+from ..workspace.usage_exchange import UsageExchange
 from .policy_holder import PolicyHolder
 from .state import NodeState
 
@@ -20,10 +21,12 @@
     leaving: bool,
     in_flight: int,
     unusable_hosts: Callable[[str], Set[str]],
+    usage: UsageExchange,
 ) -> bytes:
     """Return the node's status as a JSON document.
 
     ``unusable_hosts`` takes a service and returns the hosts that no attempt is sent to.
+    The figures of workspaces are left out where the policy has none.
     """
     policy = holder.current()
     document: dict[str, Any] = {
@@ -44,6 +47,9 @@
         "suspects": len(state.suspects),
         "routing": routing_status(state.picker, now_ms, unusable_hosts),
     }
+    if policy is not None and policy.bundle.workspaces:
+        document["bundle"]["policy_age_ms"] = _policy_age_ms(state)
+        document["workspaces"] = usage.statuses()
     return msgspec.json.encode(document)
 
 
@@ -69,6 +75,12 @@
     }
 
 
+def _policy_age_ms(state: NodeState) -> int | None:
+    """Return how long ago the policy was known to be the newest, or None."""
+    age_ms = state.freshness.reported_age_ms()
+    return age_ms if age_ms >= 0 else None
+
+
 def node_gauges(
     state: NodeState,
     holder: PolicyHolder,
--- a/src/jacinthshed/internal/workspace/usage.py
+++ b/src/jacinthshed/internal/workspace/usage.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from ..wire.usage import ALL_PERMILLE
+from .status import KnownShare
 from .usage_home import Limit
 
 REPORT_MS = 500.0
@@ -31,6 +32,7 @@
         self.unanswered_since_ms: float | None = None
         self.own_tokens = 1.0
         self.own_at_ms = now_ms
+        self.has_been_told = False
 
 
 class UsageLimiter:
@@ -72,6 +74,18 @@
             "is_on_its_own": self._is_on_its_own(usage, now_ms),
         }
 
+    def shares(self, now_ms: float) -> list[KnownShare]:
+        """Return what is known of each workspace."""
+        return [
+            KnownShare(
+                name=name,
+                permille=usage.permille,
+                told_ago_ms=now_ms - usage.told_ms if usage.has_been_told else None,
+                is_on_its_own=self._is_on_its_own(usage, now_ms),
+            )
+            for name, usage in self._usage.items()
+        ]
+
     def give_back(self, name: str) -> None:
         """Take back the count of a request that did not run after all."""
         usage = self._usage.get(name)
@@ -106,6 +120,7 @@
             usage.unanswered_since_ms = None
             usage.permille = permille
             usage.told_ms = now_ms
+            usage.has_been_told = True
 
     def _is_on_its_own(self, usage: _Usage, now_ms: float) -> bool:
         since_ms = usage.unanswered_since_ms
--- a/src/jacinthshed/internal/workspace/usage_exchange.py
+++ b/src/jacinthshed/internal/workspace/usage_exchange.py
@@ -11,6 +11,7 @@
 from ..telemetry.log import LogDecision
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.usage import UsageReport, UsageShare
+from .status import WorkspaceStatus, workspace_statuses
 from .usage import UsageLimiter
 from .usage_home import Limit, UsageHome
 
@@ -129,13 +130,28 @@
         """Apply the answer of a home."""
         self._limiter.receive(self._now_ms(), share.entries)
 
+    def statuses(self) -> list[WorkspaceStatus]:
+        """Return the workspaces with a limit that this node has met, for its status."""
+        now_ms = self._now_ms()
+        shares = self._limiter.shares(now_ms)
+        limited = [share for share in shares if self._limits(share.name) is not None]
+        if not limited:
+            return []
+        # Homes that are no longer in force are only replaced when use is reported.
+        are_in_force = now_ms - self._homes_at_ms <= HOMES_TTL_MS
+        homes = self._homes if are_in_force else self._choose_homes()
+        return workspace_statuses(limited, lambda name: homes[_home_number(name)])
+
     def _home_of(self, now_ms: float, name: str) -> str:
         if now_ms - self._homes_at_ms > HOMES_TTL_MS:
             self._homes_at_ms = now_ms
-            self._homes = [self._choose_home(number) for number in range(HOMES)]
+            self._homes = self._choose_homes()
             if self._own_host not in self._homes:
                 self._home.forget()
-        return self._homes[score("usage", name) % HOMES]
+        return self._homes[_home_number(name)]
+
+    def _choose_homes(self) -> list[str]:
+        return [self._choose_home(number) for number in range(HOMES)]
 
     def _choose_home(self, number: int) -> str:
         """Return the host that nodes with the same view choose for homes ``number``."""
@@ -143,6 +159,10 @@
         return min(hosts, key=lambda host: (score(f"usage-{number}", host), host))
 
 
+def _home_number(name: str) -> int:
+    return score("usage", name) % HOMES
+
+
 def limit_of(workspace: Workspace | None) -> Limit | None:
     """Return the limit of ``workspace``, or ``None`` if it has none."""
     if workspace is None or workspace.rate_per_s <= 0:
