--- a/src/jacinthshed/internal/membership/gossip.py
+++ b/src/jacinthshed/internal/membership/gossip.py
@@ -92,12 +92,9 @@
         self._directory_revision = directory_revision
         self._freshness = freshness
         self._peers = PeerSelector(
-            view=view,
-            random=random,
-            linked=linked,
-            is_reachable=is_reachable,
-            prefers_own_zone=_prefers_own_zone(policy),
+            view=view, random=random, linked=linked, is_reachable=is_reachable
         )
+        self._peers.set_prefers_own_zone(_prefers_own_zone(policy))
         self._rumors = Rumors()
         self._reconciliation = Reconciliation(settle_ms=policy.gossip_interval_ms)
         self._next_round_ms = float("-inf")
--- a/src/jacinthshed/internal/membership/peers.py
+++ b/src/jacinthshed/internal/membership/peers.py
@@ -17,8 +17,8 @@
     ``linked`` returns the hosts to which a link is open that has delivered a frame
     lately, ``is_reachable`` whether a host is reachable as far as this node knows.
 
-    With ``prefers_own_zone``, hosts in other availability zones are peers only as
-    neighbours, and in the rounds with any member.
+    Where the own zone is preferred, hosts in other availability zones are peers only
+    as neighbours, and in the rounds with any member.
     """
 
     def __init__(
@@ -28,13 +28,12 @@
         random: Random,
         linked: Callable[[], Sequence[str]],
         is_reachable: Callable[[str], bool],
-        prefers_own_zone: bool = False,
     ) -> None:
         self._view = view
         self._random = random
         self._linked = linked
         self._is_reachable = is_reachable
-        self._prefers_own_zone = prefers_own_zone
+        self._prefers_own_zone = False
         self._round = 0
         self._neighbours: tuple[str, ...] = ()
         self._neighbours_version = -1
--- a/tests/cover/test_gossip_neighbours.py
+++ b/tests/cover/test_gossip_neighbours.py
@@ -41,8 +41,8 @@
         random=random,
         linked=lambda: linked,
         is_reachable=lambda host: host not in down,
-        prefers_own_zone=prefers_own_zone,
     )
+    peers.set_prefers_own_zone(prefers_own_zone)
     return peers, random
 
 
