Share scarce capacity among workspaces by their rates

Reason: targets and their callers shed root requests by hash, so that all workspaces lost the same part, whoever caused it. The entry node now multiplies the hash by the used part of the rate of the workspace; nested calls inherit it. UsageShare tells the offered demand as a third figure.

--- a/src/jacinthshed/internal/flow/call_reader.py
+++ b/src/jacinthshed/internal/flow/call_reader.py
@@ -1,5 +1,6 @@
 """Parsing of a complete HTTP request into a call, or into a refusal."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import xxhash
@@ -21,6 +22,7 @@
 )
 from ..http.message import Headers, Request, header
 from ..verdict import Reason, Refusal, Verdict
+from ..workspace.fair_share import whole_use
 from .call import Call
 from .context import ParentContext
 from .policy import Policy
@@ -45,6 +47,7 @@
     - ``parent`` is the context of the request that makes this call, or ``None``.
     - ``calls_done`` is the number of the parent's calls answered so far.
     - ``policy_age_ms`` is the age of the knowledge that the policy is the newest.
+    - ``use_permille`` returns how much of its rate a workspace uses, in thousandths.
     - ``nested_key`` is the idempotency key of a nested call in its parent's scope.
     - ``held_fence`` is the fence that was stored for an earlier copy of a nested call,
       or ``new``.
@@ -57,6 +60,7 @@
     calls_done: int
     caller: str
     policy_age_ms: float = 0.0
+    use_permille: Callable[[str], int] = whole_use
     nested_key: str = ""
     held_fence: str = ""
 
--- a/src/jacinthshed/internal/node/gateway.py
+++ b/src/jacinthshed/internal/node/gateway.py
@@ -199,6 +199,7 @@
             calls_done=0,
             caller=caller,
             policy_age_ms=self._policy_age_ms(),
+            use_permille=self._usage.use_permille,
         )
         if parent is None:
             return arrival
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -20,7 +20,8 @@
 from ..http.problem import problem_body
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Submit
-from ..workspace.key_ring import rank_in_workspace
+from ..workspace.fair_share import scaled_hash
+from ..workspace.key_ring import KeyOwner, rank_in_workspace
 from .headers import (
     ATTEMPT_ID,
     CALLER_SERVICE,
@@ -135,8 +136,7 @@
         headers = forwarded_headers(headers, policy, owner)
         call = _call(request, arrival, match, limit_ms, (*headers, caller))
         if owner is not None:
-            rank = rank_in_workspace(owner.workspace, match.route.rank)
-            call = call._replace(rank=rank, workspace=owner.name)
+            call = _in_workspace(call, owner, arrival, match.route.rank)
         return Success(ParsedCall(call, Unfenced()))
 
     return read_call
@@ -188,6 +188,18 @@
     )
 
 
+def _in_workspace(
+    call: Call, owner: KeyOwner, arrival: Arrival, route_rank: int
+) -> Call:
+    rank = rank_in_workspace(owner.workspace, route_rank)
+    call = call._replace(rank=rank, workspace=owner.name)
+    if arrival.parent is not None:
+        # Every service sheds the calls of the same root requests.
+        return call
+    use_permille = arrival.use_permille(owner.name)
+    return call._replace(root_hash=scaled_hash(call.root_hash, use_permille))
+
+
 def _refusal_response(request_id: str, refusal: Refusal) -> Response:
     status = _status(refusal)
     headers: list[Header] = [
--- a/src/jacinthshed/internal/wire/usage.py
+++ b/src/jacinthshed/internal/wire/usage.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 ALL_PERMILLE = 1_000
+# Sent by a home that has not yet counted a workspace for as long as it measures.
+DEMAND_UNKNOWN = -1
 
 
 class UsageReport(NamedTuple):
@@ -20,6 +22,11 @@
 
 
 class UsageShare(NamedTuple):
-    """The share of its requests that each workspace may use now, in thousandths."""
+    """What the home of workspaces tells other nodes.
 
-    entries: tuple[tuple[str, int], ...]
+    Each entry is a workspace, the share of its requests that may be admitted now, and
+    its demand as a part of its rate, or ``DEMAND_UNKNOWN``. Both are in thousandths.
+    The demand is what was wanted, admitted or not, and may exceed the rate.
+    """
+
+    entries: tuple[tuple[str, int, int], ...]
--- a/src/jacinthshed/internal/workspace/usage.py
+++ b/src/jacinthshed/internal/workspace/usage.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from ..wire.usage import ALL_PERMILLE
+from ..wire.usage import ALL_PERMILLE, DEMAND_UNKNOWN
 from .usage_home import Limit
 
 REPORT_MS = 500.0
@@ -26,6 +26,7 @@
         self.used = 0
         self.wanted = 0
         self.permille = ALL_PERMILLE
+        self.demand_permille = ALL_PERMILLE
         self.told_ms = now_ms
         self.reported_ms = now_ms - REPORT_MS
         self.unanswered_since_ms: float | None = None
@@ -72,6 +73,17 @@
             "is_on_its_own": self._is_on_its_own(usage, now_ms),
         }
 
+    def use_permille(self, name: str) -> int:
+        """Return the admitted demand as a part of the rate; the whole if never told.
+
+        It exceeds the whole during a burst, and where targets refuse requests, as these
+        are counted back.
+        """
+        usage = self._usage.get(name)
+        if usage is None:
+            return ALL_PERMILLE
+        return usage.demand_permille * usage.permille // ALL_PERMILLE
+
     def give_back(self, name: str) -> None:
         """Take back the count of a request that did not run after all."""
         usage = self._usage.get(name)
@@ -99,12 +111,14 @@
             usage.unanswered_since_ms = now_ms
         return entry
 
-    def receive(self, now_ms: float, shares: Iterable[tuple[str, int]]) -> None:
-        """Apply the shares that a home has told."""
-        for name, permille in shares:
+    def receive(self, now_ms: float, shares: Iterable[tuple[str, int, int]]) -> None:
+        """Apply the shares, and the demand, that a home has told."""
+        for name, permille, demand_permille in shares:
             usage = self._usage.setdefault(name, _Usage(now_ms))
             usage.unanswered_since_ms = None
             usage.permille = permille
+            if demand_permille != DEMAND_UNKNOWN:
+                usage.demand_permille = demand_permille
             usage.told_ms = now_ms
 
     def _is_on_its_own(self, usage: _Usage, now_ms: float) -> bool:
--- a/src/jacinthshed/internal/workspace/usage_exchange.py
+++ b/src/jacinthshed/internal/workspace/usage_exchange.py
@@ -10,7 +10,7 @@
 from ..routing.rendezvous import score
 from ..telemetry.log import LogDecision
 from ..verdict import Reason, Refusal, Verdict
-from ..wire.usage import UsageReport, UsageShare
+from ..wire.usage import ALL_PERMILLE, UsageReport, UsageShare
 from .usage import UsageLimiter
 from .usage_home import Limit, UsageHome
 
@@ -73,6 +73,12 @@
         self._log("usage_refused", workspace=name, retry_after_ms=retry_ms, **known)
         return Refusal(Verdict.NOT_RUN, Reason.USAGE_LIMIT, retry_ms, _DETAIL)
 
+    def use_permille(self, name: str) -> int:
+        """Return the used part of the rate; the whole if unknown or without a limit."""
+        if self._limits(name) is None:
+            return ALL_PERMILLE
+        return self._limiter.use_permille(name)
+
     def give_back(self, name: str) -> None:
         """Take back the count of a request that did not run after all."""
         self._limiter.give_back(name)
@@ -121,8 +127,7 @@
         for name, used, wanted in report.entries:
             limit = self._limits(name)
             if limit is not None:
-                permille = self._home.report(now_ms, name, limit, used, wanted)
-                shares.append((name, permille))
+                shares.append(self._home.report(now_ms, name, limit, used, wanted))
         return UsageShare(tuple(shares))
 
     def receive_share(self, share: UsageShare) -> None:
