--- a/tests/common/usage_replay.py
+++ b/tests/common/usage_replay.py
@@ -38,13 +38,17 @@
         return UsageExchange(
             own_host=name,
             hosts=lambda: self.names,
-            limits=lambda workspace: self.limit,
+            limits=self.limit_of,
             send=lambda host, frame: self._send(name, host, frame),
             now_ms=lambda: self.now_ms,
             random=self.random,
             log=lambda event, **fields: None,
         )
 
+    def limit_of(self, workspace):
+        """Return the limit of ``workspace``."""
+        return self.limit
+
     def restart(self, *names):
         """Replace nodes by new ones, which know nothing."""
         for name in names:
@@ -70,10 +74,14 @@
                 self._request(self.random.choice(names))
                 next_ms += self.random.expovariate(per_s) * 1_000
             else:
-                self.now_ms, _, action, arguments = heapq.heappop(self._events)
-                action(*arguments)
+                self.next_event()
         self.now_ms = end_ms
 
+    def next_event(self):
+        """Let the next thing happen that was to happen later."""
+        self.now_ms, _, action, arguments = heapq.heappop(self._events)
+        action(*arguments)
+
     def most_in(self, window_s):
         """Return the most admitted requests in any window."""
         most = first = 0
