Order requests by fair shares at the product's own interface too

The merged parts met: keys at the product's own headers, and hashes scaled by the use of a workspace, which only the platform's adapter did. Both call one function now; a nested call keeps the hash of its root in both.

--- a/src/jacinthshed/internal/flow/call_access.py
+++ b/src/jacinthshed/internal/flow/call_access.py
@@ -1,11 +1,14 @@
 """The workspace of a request by the product's own headers."""
 
+from collections.abc import Callable
+
 from returns.result import Result
 
 from ..bundle.model import Route
 from ..http.message import Headers, header
 from ..verdict import Refusal
 from ..workspace.access import Caller, check_access
+from ..workspace.fair_share import scaled_hash
 from ..workspace.key_ring import KeyOwner, rank_in_workspace
 from .call import Call
 from .policy import Policy
@@ -35,8 +38,23 @@
     return check_access(policy.keys, route, caller, policy.bundle.keys)
 
 
-def in_workspace(call: Call, owner: KeyOwner, route: Route) -> Call:
-    """Return ``call`` with the rank of its workspace, and its name for the target."""
-    headers = (*call.headers, (WORKSPACE_HEADER, owner.name.encode()))
+def in_workspace(
+    call: Call, owner: KeyOwner, route: Route, use_permille: Callable[[str], int]
+) -> Call:
+    """Return ``call`` with the rank of its workspace, and its place among others.
+
+    ``use_permille`` returns how much of its rate a workspace uses. A nested call keeps
+    the hash of its root, so that every service sheds the calls of the same roots.
+    """
     rank = rank_in_workspace(owner.workspace, route.rank)
-    return call._replace(rank=rank, workspace=owner.name, headers=headers)
+    call = call._replace(rank=rank, workspace=owner.name)
+    if call.parent_id:
+        return call
+    scaled = scaled_hash(call.root_hash, use_permille(owner.name))
+    return call._replace(root_hash=scaled)
+
+
+def with_workspace_name(call: Call, owner: KeyOwner) -> Call:
+    """Return ``call`` with the name of its workspace for the backend server."""
+    headers = (*call.headers, (WORKSPACE_HEADER, owner.name.encode()))
+    return call._replace(headers=headers)
--- a/src/jacinthshed/internal/flow/call_reader.py
+++ b/src/jacinthshed/internal/flow/call_reader.py
@@ -23,8 +23,14 @@
 from ..http.message import Headers, Request, header
 from ..verdict import Reason, Refusal, Verdict
 from ..workspace.fair_share import whole_use
+from ..workspace.key_ring import KeyOwner
 from .call import Call
-from .call_access import EGRESS_CALLER, find_owner, in_workspace
+from .call_access import (
+    EGRESS_CALLER,
+    find_owner,
+    in_workspace,
+    with_workspace_name,
+)
 from .context import ParentContext
 from .policy import Policy
 
@@ -85,13 +91,7 @@
     undeclared_detail = _undeclared_call_detail(match, arrival.parent, policy)
     if undeclared_detail is not None:
         return _refuse(Reason.UNKNOWN_ROUTE, undeclared_detail)
-    found = find_owner(
-        request.headers,
-        policy,
-        match.route,
-        is_local=arrival.parent is not None or arrival.caller == EGRESS_CALLER,
-        policy_age_ms=arrival.policy_age_ms,
-    )
+    found = _find_owner(request.headers, arrival, policy, match.route)
     if isinstance(found, Failure):
         return Failure(found.failure())
     if len(request.body) > policy.bundle.sizes.request_bytes:
@@ -110,9 +110,18 @@
         return Failure(strategy.refusal)
     parsed = _parsed_call(request, arrival, policy, match, deadline, strategy)
     owner = found.unwrap()
-    if owner is not None:
-        parsed = parsed._replace(call=in_workspace(parsed.call, owner, match.route))
-    return Success(parsed)
+    if owner is None:
+        return Success(parsed)
+    call = in_workspace(parsed.call, owner, match.route, arrival.use_permille)
+    return Success(parsed._replace(call=with_workspace_name(call, owner)))
+
+
+def _find_owner(
+    headers: Headers, arrival: Arrival, policy: Policy, route: Route
+) -> Result[KeyOwner | None, Refusal]:
+    is_local = arrival.parent is not None or arrival.caller == EGRESS_CALLER
+    age_ms = arrival.policy_age_ms
+    return find_owner(headers, policy, route, is_local=is_local, policy_age_ms=age_ms)
 
 
 def _parsed_call(
--- a/src/jacinthshed/internal/platform/http_adapter.py
+++ b/src/jacinthshed/internal/platform/http_adapter.py
@@ -12,6 +12,7 @@
 from ..flow.announcements import Announcement
 from ..flow.backend_outcome import BackendAnswer
 from ..flow.call import Call
+from ..flow.call_access import in_workspace
 from ..flow.call_reader import HOST_HEADER, Arrival, ParsedCall
 from ..flow.policy import Policy
 from ..flow.steps import CallEnd
@@ -20,8 +21,6 @@
 from ..http.problem import problem_body
 from ..verdict import Reason, Refusal, Verdict
 from ..wire.frames import Submit
-from ..workspace.fair_share import scaled_hash
-from ..workspace.key_ring import KeyOwner, rank_in_workspace
 from .headers import (
     ATTEMPT_ID,
     CALLER_SERVICE,
@@ -136,7 +135,7 @@
         headers = forwarded_headers(headers, policy, owner)
         call = _call(request, arrival, match, limit_ms, (*headers, caller))
         if owner is not None:
-            call = _in_workspace(call, owner, arrival, match.route.rank)
+            call = in_workspace(call, owner, match.route, arrival.use_permille)
         return Success(ParsedCall(call, Unfenced()))
 
     return read_call
@@ -188,18 +187,6 @@
     )
 
 
-def _in_workspace(
-    call: Call, owner: KeyOwner, arrival: Arrival, route_rank: int
-) -> Call:
-    rank = rank_in_workspace(owner.workspace, route_rank)
-    call = call._replace(rank=rank, workspace=owner.name)
-    if arrival.parent is not None:
-        # Every service sheds the calls of the same root requests.
-        return call
-    use_permille = arrival.use_permille(owner.name)
-    return call._replace(root_hash=scaled_hash(call.root_hash, use_permille))
-
-
 def _refusal_response(request_id: str, refusal: Refusal) -> Response:
     status = _status(refusal)
     headers: list[Header] = [
