Keep gossip in its zone where keys have a bound

Where the bounds ask for the withdrawal of keys, nodes tell the age of the policy several times a second, mostly to other zones. There, neighbours are chosen by zone now; deployments without that bound keep the choice as it was.

--- a/src/jacinthshed/internal/platform/policy_document.py
+++ b/src/jacinthshed/internal/platform/policy_document.py
@@ -14,6 +14,7 @@
     DrainPolicy,
     FencePolicy,
     KeyPolicy,
+    MembershipPolicy,
     ReaderPolicy,
     RetryPolicy,
     RoutingPolicy,
@@ -114,7 +115,10 @@
         order = BundleOrder(document.version, hashlib.sha256(data).digest())
         bundle = _bundle(document.version, routes, services, sizes, bounds, readers)
         bundle = msgspec.structs.replace(
-            bundle, workspaces=workspaces, keys=_key_policy(bounds)
+            bundle,
+            workspaces=workspaces,
+            keys=_key_policy(bounds),
+            membership=_membership_policy(bounds),
         )
         found = HostRoutes(routes=routes)
         return Success(OpenedBundle(bundle, order, data, found, tuple(problems)))
@@ -138,6 +142,15 @@
     )
 
 
+def _membership_policy(bounds: Bounds) -> MembershipPolicy:
+    """Return the policy of gossip, which keys with a bound make frequent.
+
+    Peers are told several times a second how old the policy can be. Most of that need
+    not go to other availability zones, each of which has readers of the store.
+    """
+    return MembershipPolicy(neighbours="own-zone" if bounds.revoke_ms else "any")
+
+
 def _key_policy(bounds: Bounds) -> KeyPolicy:
     age_ms = bounds.revoke_ms - REVOKE_MARGIN_MS if bounds.revoke_ms else 0
     return KeyPolicy(max_age_ms=max(0, age_ms))
--- a/tests/cover/test_workspace_keys.py
+++ b/tests/cover/test_workspace_keys.py
@@ -285,3 +285,14 @@
 )
 def test_the_age_is_bounded_only_where_the_platform_asks_for_it(values, revoke_ms):
     assert read_bounds(values).revoke_ms == revoke_ms
+
+
+def test_only_a_bound_of_keys_keeps_gossip_in_its_zone():
+    """The age of the policy goes round several times a second, also between zones."""
+    state = state_with()
+    unbound = policy_document_opener(Bounds(), ReaderPolicy())
+    neighbours = [
+        opener(state, "test").unwrap().bundle.membership.neighbours
+        for opener in (OPEN_BUNDLE, unbound)
+    ]
+    assert neighbours == ["own-zone", "any"]
