Check that keys may be as old as a watch takes

A bundle with keys.max_age_ms below readers.watch_ms passed the checks, and nodes would have refused requests with keys whenever a wait was pending. A fleet with a bound of 12 s and waits of 10 s serves keys for 33 s (test); the first requests are refused until a first wait has ended.

--- a/src/jacinthshed/internal/bundle/workspace_checks.py
+++ b/src/jacinthshed/internal/bundle/workspace_checks.py
@@ -19,7 +19,7 @@
 
     No problem shows a digest: a mistyped entry may be the key itself.
     """
-    yield from check_range("keys.max_age_ms", bundle.keys.max_age_ms, 0, MAX_AGE_MS)
+    yield from _check_keys(bundle)
     owners: dict[str, str] = {}
     for name, workspace in bundle.workspaces.items():
         path = f"workspaces.{name}"
@@ -36,6 +36,13 @@
                 yield Problem(digest_path, expected, f"a key of {owner} too")
 
 
+def _check_keys(bundle: Bundle) -> Iterator[Problem]:
+    max_age_ms = bundle.keys.max_age_ms
+    least_ms = bundle.readers.watch_ms + 1 if max_age_ms > 0 else 0
+    reason = "0, or longer than readers.watch_ms, as a pending watch shows no age"
+    yield from check_range("keys.max_age_ms", max_age_ms, least_ms, MAX_AGE_MS, reason)
+
+
 def _check_numbers(path: str, workspace: Workspace) -> Iterator[Problem]:
     yield from check_range(f"{path}.rank", workspace.rank, 0, MAX_RANK)
     rate_per_s, burst = workspace.rate_per_s, workspace.burst
--- a/tests/cover/test_workspace_interface.py
+++ b/tests/cover/test_workspace_interface.py
@@ -94,6 +94,21 @@
     run_virtual(main)
 
 
+def test_keys_with_a_bound_are_served_while_the_platform_answers():
+    """Nodes that learn the age of the policy too seldom would refuse all keys."""
+
+    async def main():
+        bundle = {**single_bundle(), "workspaces": WORKSPACES}
+        bundle["keys"] = {"max_age_ms": 12_000}
+        async with running_fleet(single_layout(3), bundle) as fleet:
+            await trio.sleep(12)
+            for host in [f"orders-{number % 3}" for number in range(30)]:
+                assert (await fleet.send(host, request_with(KEY))).status == 200
+                await trio.sleep(1.1)
+
+    run_virtual(main)
+
+
 async def wait_for_version(fleet, version):
     while set(fleet.versions()) != {version}:
         await trio.sleep(0.1)
@@ -131,6 +146,7 @@
         ({"workspaces.kiosks.burst": 5.0}, "workspaces.kiosks.burst"),
         ({"workspaces.no name.rank": 1}, "workspaces.no name"),
         ({"keys.max_age_ms": -1}, "keys.max_age_ms"),
+        ({"keys.max_age_ms": 10_000}, "keys.max_age_ms"),
     ],
 )
 def test_a_wrong_workspace_is_reported_with_its_path_and_no_digest(edits, line):
